--- a/pinecove/logic.py
+++ b/sagetrestle/logic.py
@@ -1,4 +1,4 @@
-"""What one server takes, runs and turns away. Its types, events and actions: ``pinecove/interface.py``.
+"""What one server takes, runs and turns away. Its types, events and actions: ``sagetrestle/interface.py``.
 
 Running requests get short time slices and are paused between them; the next start goes to the user with the
 least run time used; a run limit found by hill climbing on finished work says how many run at once. The rest
@@ -10,7 +10,7 @@
 import heapq
 from collections import deque
 
-from pinecove.interface import (
+from sagetrestle.interface import (
     NEVER_RAN, Action, Arrived, AtCall, Below, Call, CallEnded, Drain, Effect, Event, Fail, Forget, FreeValue,
     Gauges, Gone, Health, IdleLimit, Keep, Log, Outcome, Refuse, Reuse, Run, RunEnded, Say, Settings, Skip,
     Stop, Stopping, Wake, Woke,
--- a/pinecove/adapter.py
+++ b/sagetrestle/wirehost.py
@@ -11,8 +11,8 @@
 
 import orjson
 
-from pinecove import interface as face
-from pinecove.logic import Policy
+from sagetrestle import interface as face
+from sagetrestle.logic import Policy
 
 OUTCOMES = {
     100: face.Outcome.OK, 301: face.Outcome.ERROR, 302: face.Outcome.FULL, 303: face.Outcome.TIMEOUT,
@@ -214,7 +214,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
-        print(f"pinecove: {error}", file=sys.stderr)
+        print(f"sagetrestle: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,16 +4,16 @@
 
 import pytest
 
-from pinecove import Policy, Settings
-from pinecove import interface as face
-from pinecove.interface import (
+from sagetrestle import Policy, Settings
+from sagetrestle import interface as face
+from sagetrestle.interface import (
     Arrived, AtCall, Below, Call, CallEnded, ClassSettings, Drain, Effect, Fail, Gauges, Gone, Health, Keep,
     Outcome, Refuse, Reuse, Run, RunEnded, Skip, Stop, Stopping, Wake, Woke,
 )
-from pinecove.logic import STOPPING
+from sagetrestle.logic import STOPPING
 
 MS = 1_000
-LOGIC = pathlib.Path(__file__).parent.parent / "pinecove" / "logic.py"
+LOGIC = pathlib.Path(__file__).parent.parent / "sagetrestle" / "logic.py"
 CLASSES = (
     ClassSettings("low", 1_000 * MS, 3_000 * MS, worth=1.0, calls=True, skip_worth=0.5),
     ClassSettings("high", 1_000 * MS, 3_000 * MS, worth=4.0),
--- a/tests/test_adapter.py
+++ b/tests/test_wirehost.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pinecove.adapter import WireError, serve
+from sagetrestle.wirehost import WireError, serve
 
 PARAMS = {
     "classes": [{"aim": 1000000, "hard_limit": 3000000, "effect": "safe", "name": "r", "window": 1}],
