--- /dev/null
+++ b/sagetrestle/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real scorer: the decision module on real sockets."""
--- /dev/null
+++ b/sagetrestle/net/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program: configuration, clock, turn loop, signals and log."""
--- /dev/null
+++ b/sagetrestle/net/program/clock.py
@@ -0,0 +1,26 @@
+"""Time: whole microseconds on the monotonic clock."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+
+class Clock:
+    """The monotonic clock, read once a turn, and the way to it from Unix time."""
+
+    def __init__(self, monotonic_ns: Callable[[], int] = time.monotonic_ns,
+                 unix_ns: Callable[[], int] = time.time_ns) -> None:
+        self._monotonic_ns, self._unix_ns = monotonic_ns, unix_ns
+        self._ahead = 0
+        self.read()
+
+    def read(self) -> int:
+        """Return the time of this turn, and note how far ahead the Unix clock is."""
+        now = self._monotonic_ns() // 1000
+        self._ahead = self._unix_ns() // 1000 - now
+        return now
+
+    def from_unix_ms(self, stamp: int) -> int:
+        """Return a Unix time in milliseconds on the monotonic clock."""
+        return stamp * 1000 - self._ahead
--- /dev/null
+++ b/sagetrestle/net/program/config.py
@@ -0,0 +1,133 @@
+"""What the platform tells a scorer, and what the operators' file says of the second front."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from sagetrestle.net.routing.values import Plan
+from sagetrestle.wirehost import read_settings
+
+Address = tuple[str, int]
+SCGI_KEYS = {"listen", "dns_listen", "domain", "instance", "held_kb"}
+
+
+class ConfigError(Exception):
+    """A configuration that can not be used; the text names the field."""
+
+
+@dataclass(frozen=True)
+class ScgiConfig:
+    """Where the SCGI front listens, and how its service is announced."""
+
+    listen: Address
+    dns_listen: Address | None = None
+    domain: str = "sagetrestle.internal"
+    instance: str = "scorer"
+    held_kb: float = 40.0
+
+
+@dataclass(frozen=True)
+class Config:
+    """One scorer's place."""
+
+    name: str
+    listen: Address
+    kernel: Address
+    roster: Address
+    ledger: Address
+    plan: Plan
+    scgi: ScgiConfig | None = None
+
+
+def read_config(env: Mapping[str, str], scgi_file: Path) -> Config:
+    """Read the file that the environment names; name and address in the environment go first."""
+    path = env.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG: not set")
+    try:
+        told = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"ROUTER_CONFIG: {error}") from None
+    if not isinstance(told, dict):
+        raise ConfigError("ROUTER_CONFIG: not a JSON object")
+    name = env.get("ROUTER_NAME") or _text(told, "name")
+    if env.get("ROUTER_LISTEN"):
+        told["listen"] = env["ROUTER_LISTEN"]
+    return Config(
+        name, _address(told, "listen"), _address(told, "kernel"), _address(told, "roster"),
+        _address(told, "ledger"), _plan(told), read_scgi(scgi_file, name),
+    )
+
+
+def read_scgi(path: Path, name: str) -> ScgiConfig | None:
+    """Read the second front's file; without the file or its ``listen`` the front is off."""
+    try:
+        told = tomllib.loads(path.read_text())
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"scgi.toml: {error}") from None
+    if unknown := sorted(set(told) - SCGI_KEYS):
+        raise ConfigError(f"scgi.toml: {unknown[0]}: unknown field")
+    if "listen" not in told:
+        return None
+    dns = _loopback(told, "dns_listen") if "dns_listen" in told else None
+    held = told.get("held_kb", 40.0)
+    if not isinstance(held, (int, float)) or not 0 < held < 2000:
+        raise ConfigError("scgi.toml: held_kb: must be a number above 0 and under 2,000")
+    return ScgiConfig(_loopback(told, "listen"), dns, str(told.get("domain", ScgiConfig.domain)).strip("."),
+                      str(told.get("instance", name)), float(held))
+
+
+def _loopback(told: dict[str, Any], name: str) -> Address:
+    """Read an address of the second front, which listens on loopback only."""
+    host, port = _address(told, name, "scgi.toml: ")
+    if not ipaddress.ip_address(host).is_loopback:
+        raise ConfigError(f"scgi.toml: {name}: not a loopback address")
+    return host, port
+
+
+def _plan(told: dict[str, Any]) -> Plan:
+    params = told.get("settings")
+    if not isinstance(params, dict):
+        raise ConfigError("settings: missing or not an object")
+    stop_ms = told.get("stop_ms")
+    if not isinstance(stop_ms, (int, float)) or not stop_ms > 0:
+        raise ConfigError("stop_ms: missing or not a number above 0")
+    try:
+        seed = int(str(told.get("seed") or "0"), 16)
+    except ValueError:
+        raise ConfigError("seed: not a hexadecimal number") from None
+    try:
+        settings = read_settings(params)
+    except KeyError as error:
+        raise ConfigError(f"settings: {error}: missing or unknown") from None
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"settings: {error}") from None
+    gauges = (params.get("extra") or {}).get("gauges") or ()
+    return Plan(settings, int(stop_ms * 1000), tuple(str(one) for one in gauges), seed)
+
+
+def _text(told: dict[str, Any], name: str) -> str:
+    value = told.get(name)
+    if not isinstance(value, str) or not value:
+        raise ConfigError(f"{name}: missing or not text")
+    return value
+
+
+def _address(told: dict[str, Any], name: str, where: str = "") -> Address:
+    """Read HOST:PORT, the host as a number: there is no DNS."""
+    host, _, port = str(told.get(name) or "").rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ConfigError(f"{where}{name}: missing or not ADDRESS:PORT") from None
+    if not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{where}{name}: not a port: {port!r}")
+    return host, int(port)
--- /dev/null
+++ b/sagetrestle/net/program/loop.py
@@ -0,0 +1,63 @@
+"""The turn loop: inputs are collected, reduced at one reading of the clock, and the effects carried out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from sagetrestle.net.program.clock import Clock
+from sagetrestle.net.routing.effects import Effect
+from sagetrestle.net.routing.inputs import Input
+from sagetrestle.net.routing.reducer import next_due, reduce
+from sagetrestle.net.routing.state import State
+
+
+class TurnLoop:
+    """Runs a turn when something came in or is due."""
+
+    def __init__(self, reactor: Any, clock: Clock, state: State, perform: Callable[[Effect], None],
+                 failed: Callable[[str], None]) -> None:
+        self._reactor, self._clock, self._state = reactor, clock, state
+        self._perform, self._failed = perform, failed
+        self._queue: list[Input] = []
+        self._soon: Any = None
+        self._timer: Any = None
+        self._timer_due = -1
+        self.now = clock.read()
+
+    def post(self, item: Input) -> None:
+        """Take an input; all that one look at the sockets brings in goes into one turn."""
+        self._queue.append(item)
+        if self._soon is None:
+            self._soon = self._reactor.callLater(0, self._turn)
+
+    def _due(self) -> None:
+        self._timer = None
+        if self._soon is None:
+            self._turn()
+
+    def _turn(self) -> None:
+        self._soon = None
+        items, self._queue = self._queue, []
+        self.now = self._clock.read()
+        try:
+            effects = reduce(self._state, self.now, items)
+        except Exception as error:  # one bad turn must not end the process and all its requests
+            self._failed(f"turn failed: {error!r}")
+            effects = []
+        for effect in effects:
+            try:
+                self._perform(effect)
+            except Exception as error:
+                self._failed(f"effect {type(effect).__name__} failed: {error!r}")
+        self._arm()
+
+    def _arm(self) -> None:
+        """Set the one timer for what is due next."""
+        due = next_due(self._state)
+        if self._timer is not None and self._timer_due != due:
+            self._timer.cancel()
+            self._timer = None
+        if self._timer is None and due is not None:
+            self._timer_due = due
+            self._timer = self._reactor.callLater(max(0, due - self.now) / 1e6, self._due)
--- /dev/null
+++ b/sagetrestle/net/program/main.py
@@ -0,0 +1,130 @@
+"""Putting the parts together."""
+
+from __future__ import annotations
+
+import gc
+import os
+import sys
+import time
+import traceback
+from pathlib import Path
+from typing import Any
+
+from sagetrestle.net.program import log, signals
+from sagetrestle.net.program.clock import Clock
+from sagetrestle.net.program.config import Config, ConfigError, read_config
+from sagetrestle.net.program.loop import TurnLoop
+from sagetrestle.net.protocol import kernel as kernel_wire
+from sagetrestle.net.routing import effects as fx
+from sagetrestle.net.routing.inputs import Started, StopAsked
+from sagetrestle.net.routing.state import new_state
+from sagetrestle.net.routing.values import ConnectionId
+from sagetrestle.net.transport.connection import Front, FrontConnection
+from sagetrestle.net.transport.kernel_link import KernelLink, encode
+from sagetrestle.net.transport.ledger_pool import LedgerPool
+from sagetrestle.net.transport.roster import Roster
+from sagetrestle.net.transport.thrift_front import ThriftFront
+
+BACKLOG = 512
+EXIT_AFTER_S = 0.03  # for the last answers to leave their sockets
+SCGI_FILE = Path("deploy/scgi.toml")
+
+
+class Scorer:
+    """One scorer: the fronts, the clients, and the loop between them."""
+
+    def __init__(self, reactor: Any, config: Config, logger: Any) -> None:
+        self.reactor, self.config = reactor, config
+        clock = Clock()
+        self.loop = TurnLoop(reactor, clock, new_state(config.plan), self.perform, self._failed)
+        self._log = log.BoundedLog(logger.info, lambda: self.loop.now)
+        post = self.loop.post
+        self.thrift = ThriftFront(config.plan.settings, post, clock.from_unix_ms)
+        self.fronts: dict[str, Front[Any]] = {"thrift": self.thrift}
+        self.kernel = KernelLink(reactor, config.kernel, post)
+        self.ledger = LedgerPool(reactor, config.ledger, post)
+        self.roster = Roster(config.name, config.roster)
+
+    def start(self) -> None:
+        """Begin with the first turn."""
+        signals.on_stop(self.reactor, lambda: self.loop.post(StopAsked()))
+        self.loop.post(Started())
+
+    def perform(self, effect: fx.Effect) -> None:
+        """Carry out one effect."""
+        match effect:
+            case fx.SendAnswer(ticket, answer, value):
+                self.fronts[ticket.connection.front].send(ticket, answer, value)
+            case fx.SendHealth(ticket, good, value):
+                self.fronts[ticket.connection.front].send_health(ticket, good, value)
+            case fx.CommandRun():
+                self.kernel.write(encode(effect))
+            case fx.PostCall(id, timeout_ms, body):
+                self.ledger.call(id, timeout_ms, body)
+            case fx.AbandonCall(id):
+                self.ledger.abandon(id)
+            case fx.AskGauges(cookie):
+                self.kernel.write(kernel_wire.encode_sysinfo(cookie))
+            case fx.Report(on):
+                self.roster.report(on)
+            case fx.WriteLog(text):
+                self._log.line(text)
+            case _:
+                self._perform_seldom(effect)
+
+    def _perform_seldom(self, effect: fx.Effect) -> None:
+        match effect:
+            case fx.AskToLeave(name):
+                self._with_connection(name, self.fronts[name.front].leave)
+            case fx.CloseConnection(name):
+                self._with_connection(name, FrontConnection.close)
+            case fx.ConnectKernel():
+                self.kernel.connect()
+            case fx.OpenKernel(serial):
+                self.kernel.write(kernel_wire.encode_open(serial))
+            case fx.Listen():
+                self._listen()
+            case fx.StopListening():
+                for front in self.fronts.values():
+                    front.stop_listening()
+            case fx.Exit():
+                self._exit()
+
+    def _with_connection(self, name: ConnectionId, act: Any) -> None:
+        connection = self.fronts[name.front].connections.get(name)
+        if connection:
+            act(connection)
+
+    def _listen(self) -> None:
+        host, port = self.config.listen
+        self.roster.listen(self.reactor, host)
+        self.thrift.port = self.reactor.listenTCP(port, self.thrift, backlog=BACKLOG, interface=host)
+
+    def _exit(self) -> None:
+        for front in self.fronts.values():
+            front.stop_listening()
+            for connection in list(front.connections.values()):
+                connection.close()
+        self.reactor.callLater(EXIT_AFTER_S, self.reactor.stop)
+
+    def _failed(self, text: str) -> None:
+        """Note what should not happen, with where it did."""
+        trace = traceback.format_exc().strip().splitlines()
+        self._log.line(f"{text} {' | '.join(line.strip() for line in trace[-5:-1])}")
+
+
+def main() -> int:
+    """Run one scorer until it is told to leave."""
+    logger = log.set_up()
+    try:
+        config = read_config(os.environ, SCGI_FILE)
+    except ConfigError as error:
+        print(f"sagetrestle: {error}", file=sys.stderr)
+        return 2
+    from twisted.internet import reactor
+    reactor.seconds = time.monotonic  # type: ignore[attr-defined]  # timers must not follow steps of Unix time
+    scorer = Scorer(reactor, config, logger)
+    scorer.start()
+    gc.freeze()
+    reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
+    return 0
--- /dev/null
+++ b/sagetrestle/net/protocol/ledger.py
@@ -0,0 +1,70 @@
+"""The ledger's wire: lines that end in CR LF, each followed by a body where one is announced."""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+from sagetrestle.net.protocol.errors import Fault, ProtocolError
+
+MAX_LINE = 256
+MAX_BODY = 64 * 1024
+VERDICTS = ("posted", "queue_full", "error", "expired", "moot")
+HEAD = re.compile(rb"([0-9a-f]{16}) ([a-z_]{1,20})(?: ([0-9]{1,9}))?")
+
+
+class Reply(NamedTuple):
+    """How a call ended."""
+
+    call: str
+    verdict: str
+    body: bytes
+
+
+class ReplyDecoder:
+    """Read the ledger's replies from a stream, holding at most one of them and what came with its end."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Reply]:
+        """Take more bytes and return the replies now complete."""
+        self._buffer += data
+        replies = []
+        while (reply := self._next()) is not None:
+            replies.append(reply)
+        return replies
+
+    def _next(self) -> Reply | None:
+        at = self._buffer.find(b"\r\n")
+        if at > MAX_LINE or (at < 0 and len(self._buffer) > MAX_LINE):
+            raise ProtocolError(f"a line of over {MAX_LINE} bytes", Fault.TOO_LARGE)
+        if at < 0:
+            return None
+        match = HEAD.fullmatch(bytes(self._buffer[:at]))
+        verdict = match[2].decode() if match else ""
+        if not match or verdict not in VERDICTS or (match[3] is None) == (verdict == "posted"):
+            raise ProtocolError(f"not a reply: {bytes(self._buffer[:min(at, 60)])!r}")
+        end, body = at + 2, b""
+        if match[3] is not None:
+            size = int(match[3])
+            if size > MAX_BODY:
+                raise ProtocolError(f"a reply of {size} bytes", Fault.TOO_LARGE)
+            end += size + 2
+            if len(self._buffer) < end:
+                return None
+            body = bytes(self._buffer[at + 2:end - 2])
+            if self._buffer[end - 2:end] != b"\r\n":
+                raise ProtocolError("a reply without its end")
+        del self._buffer[:end]
+        return Reply(match[1].decode(), verdict, body)
+
+
+def encode_post(call: str, timeout_ms: int, body: bytes) -> bytes:
+    """Write a call."""
+    return b"post %s %d %d\r\n%s\r\n" % (call.encode(), timeout_ms, len(body), body)
+
+
+def encode_abandon(call: str) -> bytes:
+    """Write that a call is given up."""
+    return b"abandon %s\r\n" % call.encode()
--- /dev/null
+++ b/sagetrestle/net/protocol/scgi.py
@@ -0,0 +1,107 @@
+"""SCGI: a netstring of headers, then the body; the answer is a CGI response.
+
+Strict: CONTENT_LENGTH comes first, SCGI is 1, no header comes twice, no length has a leading zero.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from sagetrestle.net.protocol.errors import Fault, ProtocolError
+
+MAX_HEADERS = 8 * 1024
+MAX_BODY = 2 * 1024
+LENGTH = re.compile(rb"0|[1-9][0-9]{0,8}")
+DIGITS = len(str(MAX_HEADERS)) + 4  # a longer run before the colon is no length that could be taken
+
+
+class ScgiRequest(NamedTuple):
+    """One request."""
+
+    headers: dict[str, str]
+    body: bytes
+
+
+class RequestDecoder:
+    """Read the one request of a connection, holding at most its headers and body."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._headers: dict[str, str] | None = None
+        self._size = 0
+        self.complete = False
+
+    def feed(self, data: bytes) -> ScgiRequest | None:
+        """Take more bytes and return the request once it is whole; nothing may follow it."""
+        self._buffer += data
+        if self.complete:
+            raise ProtocolError("bytes after the request")
+        if self._headers is None:
+            self._read_headers()
+        if self._headers is None or len(self._buffer) < self._size:
+            return None
+        if len(self._buffer) > self._size:
+            raise ProtocolError("bytes after the request")
+        self.complete = True
+        body, self._buffer = bytes(self._buffer), bytearray()
+        return ScgiRequest(self._headers, body)
+
+    def _read_headers(self) -> None:
+        """Read the netstring, once it is whole, and the length of the body."""
+        colon = self._buffer.find(b":", 0, DIGITS + 1)
+        if colon < 0:
+            if len(self._buffer) > DIGITS or not re.fullmatch(rb"[0-9]*", self._buffer):
+                raise ProtocolError("not a netstring")
+            return
+        if not LENGTH.fullmatch(self._buffer, 0, colon):
+            raise ProtocolError("not a netstring")
+        size = int(self._buffer[:colon])
+        if size > MAX_HEADERS:
+            raise ProtocolError(f"headers of {size} bytes", Fault.TOO_LARGE)
+        end = colon + 1 + size
+        if len(self._buffer) <= end:
+            return
+        if self._buffer[end:end + 1] != b",":
+            raise ProtocolError("a netstring without its comma")
+        headers = _headers(bytes(self._buffer[colon + 1:end]))
+        self._size = int(headers["CONTENT_LENGTH"])
+        if self._size > MAX_BODY:
+            raise ProtocolError(f"a body of {self._size} bytes", Fault.TOO_LARGE)
+        self._headers = headers
+        del self._buffer[:end + 1]
+
+
+def _headers(block: bytes) -> dict[str, str]:
+    """Read the names and values of the netstring."""
+    parts = block.split(b"\0")
+    if parts[-1] or len(parts) % 2 == 0:
+        raise ProtocolError("headers that are not pairs ended by zero bytes")
+    names, values = parts[0:-1:2], parts[1::2]
+    if not all(names) or len(set(names)) != len(names):
+        raise ProtocolError("a header without a name, or one that comes twice")
+    if not names or names[0] != b"CONTENT_LENGTH" or not LENGTH.fullmatch(values[0]):
+        raise ProtocolError("CONTENT_LENGTH does not come first or is no length")
+    headers = {name.decode("latin-1"): value.decode("latin-1")
+               for name, value in zip(names, values, strict=True)}
+    if headers.get("SCGI") != "1":
+        raise ProtocolError("the header SCGI is not 1")
+    return headers
+
+
+def encode_request(headers: Mapping[str, str], body: bytes) -> bytes:
+    """Write a request."""
+    pairs = {"CONTENT_LENGTH": str(len(body)), "SCGI": "1", **headers}
+    block = b"".join(f"{name}\0{value}\0".encode("latin-1") for name, value in pairs.items())
+    return b"%d:%s,%s" % (len(block), block, body)
+
+
+RESPONSE_START = b"Status:"
+
+
+def encode_response(status: str, headers: Mapping[str, str], body: bytes) -> bytes:
+    """Write a CGI response; its first bytes are always ``RESPONSE_START``."""
+    pairs = {"Content-Type": "application/octet-stream", "Content-Length": str(len(body)), **headers}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in pairs.items())
+    return RESPONSE_START + f" {status}\r\n{lines}\r\n".encode("latin-1") + body
--- /dev/null
+++ b/sagetrestle/net/protocol/thrift.py
@@ -0,0 +1,335 @@
+"""Thrift: framed transport, strict binary protocol, and the service ``Front`` on top of it.
+
+Only what the front ends use is written; everything the binary protocol can say is read, so that unknown
+fields and methods of newer front ends are stepped over and not taken for damage.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+import struct
+from enum import IntEnum
+from typing import Any, NamedTuple
+
+from sagetrestle.net.protocol.errors import Fault, ProtocolError
+
+MAX_BODY = 2 * 1024
+MAX_FRAME = 16 * 1024  # a body, ten short fields and room for fields of newer front ends
+MAX_DEPTH = 8
+VERSION = 0x80010000
+
+
+class Kind(IntEnum):
+    """Message types."""
+
+    CALL = 1
+    REPLY = 2
+    EXCEPTION = 3
+    ONEWAY = 4
+
+
+class Type(IntEnum):
+    """Wire types of values."""
+
+    STOP = 0
+    BOOL = 2
+    BYTE = 3
+    DOUBLE = 4
+    I16 = 6
+    I32 = 8
+    I64 = 10
+    STRING = 11
+    STRUCT = 12
+    MAP = 13
+    SET = 14
+    LIST = 15
+
+
+UNKNOWN_METHOD, PROTOCOL_ERROR = 1, 7  # codes of application exceptions
+NUMBERS = {Type.BYTE: ">b", Type.DOUBLE: ">d", Type.I16: ">h", Type.I32: ">i", Type.I64: ">q"}
+
+
+class FrameDecoder:
+    """Cut a stream into frames, holding at most one frame and what came with its end."""
+
+    def __init__(self, longest: int = MAX_FRAME) -> None:
+        self._longest = longest
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Take more bytes and return the frames now complete."""
+        self._buffer += data
+        frames, at = [], 0
+        while len(self._buffer) - at >= 4:
+            (size,) = struct.unpack_from(">I", self._buffer, at)
+            if size > self._longest:
+                raise ProtocolError(f"a frame of {size} bytes", Fault.TOO_LARGE)
+            if len(self._buffer) - at - 4 < size:
+                break
+            frames.append(bytes(self._buffer[at + 4:at + 4 + size]))
+            at += 4 + size
+        del self._buffer[:at]
+        return frames
+
+
+class Reader:
+    """Read the values of one frame."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data, self._at = data, 0
+
+    def take(self, size: int) -> bytes:
+        """Return the next bytes."""
+        if size < 0 or self._at + size > len(self._data):
+            raise ProtocolError("a value runs past the end of its frame")
+        self._at += size
+        return self._data[self._at - size:self._at]
+
+    def number(self, form: str) -> Any:
+        """Return one number."""
+        return struct.unpack(form, self.take(struct.calcsize(form)))[0]
+
+    def string(self) -> bytes:
+        """Return a string or binary."""
+        return self.take(self.number(">i"))
+
+    def value(self, kind: int, depth: int = 0) -> Any:
+        """Return a value of any type: structs as dicts by field number, maps as dicts."""
+        if depth > MAX_DEPTH:
+            raise ProtocolError(f"values nested over {MAX_DEPTH} deep")
+        if kind in NUMBERS:
+            return self.number(NUMBERS[Type(kind)])
+        if kind == Type.BOOL:
+            return self.take(1) != b"\0"
+        if kind == Type.STRING:
+            return self.string()
+        if kind == Type.STRUCT:
+            return self.fields(depth)
+        if kind == Type.MAP:
+            return self._map(depth)
+        if kind in (Type.SET, Type.LIST):
+            of, count = self.number(">B"), self._count()
+            return [self.value(of, depth + 1) for _ in range(count)]
+        raise ProtocolError(f"unknown type {kind}")
+
+    def fields(self, depth: int = 0) -> dict[int, tuple[int, Any]]:
+        """Return a struct: each field's number, with its type and value."""
+        found: dict[int, tuple[int, Any]] = {}
+        while (kind := self.number(">B")) != Type.STOP:
+            number = self.number(">h")
+            found[number] = (kind, self.value(kind, depth + 1))
+        return found
+
+    def _map(self, depth: int) -> dict[Any, Any]:
+        key, value, count = self.number(">B"), self.number(">B"), self._count()
+        if key in (Type.STRUCT, Type.MAP, Type.SET, Type.LIST):
+            raise ProtocolError("a map whose keys are containers")
+        return {self.value(key, depth + 1): self.value(value, depth + 1) for _ in range(count)}
+
+    def _count(self) -> int:
+        """Return a container's size; each element takes a byte at least, so none is larger than its frame."""
+        count = self.number(">i")
+        if not 0 <= count <= len(self._data) - self._at:
+            raise ProtocolError(f"a container of {count} elements")
+        return count
+
+    def at_end(self) -> bool:
+        """Tell whether all was read."""
+        return self._at == len(self._data)
+
+
+class Message(NamedTuple):
+    """One message of any method."""
+
+    name: str
+    kind: int
+    seqid: int
+    fields: dict[int, tuple[int, Any]]
+
+    def field(self, number: int, kind: Type) -> Any:
+        """Return a field of the expected type, or None."""
+        got, value = self.fields.get(number, (None, None))
+        return value if got == kind else None
+
+
+def decode_message(frame: bytes) -> Message:
+    """Read a frame as a message of the strict binary protocol."""
+    reader = Reader(frame)
+    head = reader.number(">I")
+    if head & 0xFFFF0000 != VERSION:
+        raise ProtocolError("not a message of the strict binary protocol")
+    name = _text(reader.string())
+    message = Message(name, head & 0xFF, reader.number(">i"), reader.fields())
+    if not reader.at_end():
+        raise ProtocolError("bytes after the end of a message")
+    return message
+
+
+def _text(raw: Any) -> str:
+    """Return a string as text."""
+    try:
+        return raw.decode()
+    except (UnicodeDecodeError, AttributeError):
+        raise ProtocolError("a string that is not UTF-8") from None
+
+
+# The service ``Front``
+
+
+class Handle(NamedTuple):
+    """A request, its fields read but not yet matched with the settings."""
+
+    seqid: int
+    cls: str
+    id: str
+    stamp_ms: int
+    caller: int
+    retry: bool
+    hint_ms: float
+    held_kb: float
+    rank: float
+    key: str | None
+    subject: str | None
+    body: bytes
+
+
+class BadFields(NamedTuple):
+    """A well-formed call of ``handle`` whose fields can not be used."""
+
+    seqid: int
+    why: str
+
+
+class Withdraw(NamedTuple):
+    """The front end no longer waits for the request with this number."""
+
+    target: int
+
+
+class Status(NamedTuple):
+    """A health check."""
+
+    seqid: int
+
+
+class UnknownMethod(NamedTuple):
+    """A call of a method that the service does not have."""
+
+    seqid: int
+    name: str
+    oneway: bool
+
+
+def read_call(message: Message) -> Handle | BadFields | Withdraw | Status | UnknownMethod:
+    """Match a message with the methods of the service."""
+    if message.kind not in (Kind.CALL, Kind.ONEWAY):
+        raise ProtocolError(f"a message of type {message.kind} from a front end")
+    if message.name == "handle":
+        return _handle(message)
+    if message.name == "withdraw":
+        target = message.field(1, Type.I32)
+        if target is None:
+            raise ProtocolError("withdraw without a number")
+        return Withdraw(target)
+    if message.name == "status":
+        return Status(message.seqid)
+    return UnknownMethod(message.seqid, message.name[:40], message.kind == Kind.ONEWAY)
+
+
+def _handle(message: Message) -> Handle | BadFields:
+    """Read a request's fields; a body over the bound is damage, a bad field is answered."""
+    body = message.field(2, Type.STRING) or b""
+    if len(body) > MAX_BODY:
+        raise ProtocolError(f"a body of {len(body)} bytes", Fault.TOO_LARGE)
+    fields = {_text(key): _text(value) for key, value in (message.field(1, Type.MAP) or {}).items()}
+    try:
+        return Handle(
+            message.seqid, fields["c"], _matching(fields, "i", r"[0-9a-f]{16}"), _whole(fields, "s"),
+            _whole(fields, "f"), fields.get("r", "") == "1", _number(fields, "h", 0.0),
+            _number(fields, "m", 0.0), _number(fields, "p", 0.0), fields.get("k") or None,
+            fields.get("o") or None, body,
+        )
+    except KeyError as error:
+        return BadFields(message.seqid, f"field {error} is missing")
+    except ValueError as error:
+        return BadFields(message.seqid, str(error))
+
+
+def _matching(fields: dict[str, str], name: str, pattern: str) -> str:
+    if not re.fullmatch(pattern, fields[name]):
+        raise ValueError(f"field {name!r} is not of its form")
+    return fields[name]
+
+
+def _whole(fields: dict[str, str], name: str) -> int:
+    return int(_matching(fields, name, r"[0-9]{1,18}"))
+
+
+def _number(fields: dict[str, str], name: str, default: float) -> float:
+    """Return a finite number of 0 or more; ``float`` alone would take 'nan' and 'inf'."""
+    if name not in fields:
+        return default
+    value = float(_matching(fields, name, r"[0-9]{1,15}(\.[0-9]{1,15})?([eE][-+]?[0-9]{1,2})?"))
+    if not math.isfinite(value):
+        raise ValueError(f"field {name!r} is not of its form")
+    return value
+
+
+# Writing
+
+
+def string(value: bytes) -> bytes:
+    """Write a string or binary."""
+    return struct.pack(">i", len(value)) + value
+
+
+def field(kind: Type, number: int, value: bytes) -> bytes:
+    """Write one field of a struct, its value already written."""
+    return struct.pack(">Bh", kind, number) + value
+
+
+def text_map(pairs: dict[str, str]) -> bytes:
+    """Write a map of strings."""
+    head = struct.pack(">BBi", Type.STRING, Type.STRING, len(pairs))
+    return head + b"".join(string(key.encode()) + string(value.encode()) for key, value in pairs.items())
+
+
+def encode_message(name: str, kind: Kind, seqid: int, fields: bytes = b"") -> bytes:
+    """Write a framed message with a struct of these fields."""
+    body = struct.pack(">I", VERSION | kind) + string(name.encode()) + struct.pack(">i", seqid)
+    body += fields + b"\0"
+    return struct.pack(">I", len(body)) + body
+
+
+def encode_answer(name: str, seqid: int, body: bytes, pairs: dict[str, str], good: bool) -> bytes:
+    """Write the ``Answer`` of ``handle`` or ``status``."""
+    inner = field(Type.STRING, 1, string(body)) + field(Type.MAP, 2, text_map(pairs))
+    inner += field(Type.BOOL, 3, b"\1" if good else b"\0") + b"\0"
+    return encode_message(name, Kind.REPLY, seqid, field(Type.STRUCT, 0, inner))
+
+
+def _thrown(number: int, seqid: int, pairs: dict[str, str]) -> bytes:
+    inner = field(Type.MAP, 1, text_map(pairs)) + b"\0"
+    return encode_message("handle", Kind.REPLY, seqid, field(Type.STRUCT, number, inner))
+
+
+def encode_shed(seqid: int, pairs: dict[str, str]) -> bytes:
+    """Write the exception ``Shed`` of ``handle``."""
+    return _thrown(1, seqid, pairs)
+
+
+def encode_fault(seqid: int, pairs: dict[str, str]) -> bytes:
+    """Write the exception ``Fault`` of ``handle``."""
+    return _thrown(2, seqid, pairs)
+
+
+def encode_exception(name: str, seqid: int, code: int, text: str) -> bytes:
+    """Write an application exception."""
+    inner = field(Type.STRING, 1, string(text.encode())) + field(Type.I32, 2, struct.pack(">i", code))
+    return encode_message(name, Kind.EXCEPTION, seqid, inner)
+
+
+def encode_leaving() -> bytes:
+    """Write the oneway message ``leaving``, with an empty struct."""
+    return encode_message("leaving", Kind.ONEWAY, 0)
--- /dev/null
+++ b/sagetrestle/net/routing/chores.py
@@ -0,0 +1,120 @@
+"""What is due by time alone: reports, gauges, idle connections, the link to the kernel, the drain."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sagetrestle.interface import Drain
+from sagetrestle.net.routing import inputs
+from sagetrestle.net.routing.actions import set_health
+from sagetrestle.net.routing.effects import (
+    AskGauges, AskToLeave, CloseConnection, ConnectKernel, Exit, Listen, Report, StopListening,
+)
+from sagetrestle.net.routing.state import Drain as DrainState
+from sagetrestle.net.routing.state import Link
+from sagetrestle.net.routing.turn import Turn
+from sagetrestle.net.routing.values import Failed
+
+REPORT_EVERY_US = 800_000  # the roster drops a server 3 s after its last report
+GAUGES_EVERY_US = 100_000  # the module's timers take the last gauges and never wait for newer ones
+IDLE_EVERY_US = 200_000
+LEAVING_US = 1_000_000  # how long the other side has to close a connection that is left
+DRAIN_EVERY_US = 20_000
+EXIT_BEFORE_US = 120_000  # the process ends so long before it would be stopped
+CLOSE_SHARE = 0.6  # of the notice: with a short one the fronts close before the grace is over
+
+
+def started(turn: Turn, _: inputs.Started) -> None:
+    """Open the fronts, report, and reach for the kernel."""
+    turn.effects += [Listen(), ConnectKernel()]
+    turn.state.kernel.link = Link.CONNECTING
+    turn.state.chores.update(report=turn.now, gauges=turn.now, idle=turn.now + IDLE_EVERY_US)
+
+
+def stop_asked(turn: Turn, _: inputs.StopAsked) -> None:
+    """Begin to leave: off the roster at once; the module answers what is in hand."""
+    state = turn.state
+    if state.drain:
+        return
+    grace = min(state.plan.settings.drain_grace_us, int(state.plan.stop_us * CLOSE_SHARE))
+    stop_at = turn.now + state.plan.stop_us
+    state.drain = DrainState(turn.now, turn.now + grace, stop_at - EXIT_BEFORE_US)
+    state.chores["drain"] = state.drain.close_at
+    set_health(turn, False)
+    if state.policy:
+        turn.events.append(Drain(stop_at))
+    else:
+        _exit(turn)
+
+
+def _connect(turn: Turn) -> None:
+    if turn.state.kernel.link is Link.DOWN:
+        turn.state.kernel.link = Link.CONNECTING
+        turn.effects.append(ConnectKernel())
+    turn.state.chores.pop("kernel")
+
+
+def _report(turn: Turn) -> None:
+    turn.effects.append(Report(turn.state.healthy))
+    turn.state.chores["report"] = turn.now + REPORT_EVERY_US
+
+
+def _ask_gauges(turn: Turn) -> None:
+    if turn.state.kernel.link is Link.UP:
+        turn.effects.append(AskGauges("gauges"))
+    turn.state.chores["gauges"] = turn.now + GAUGES_EVERY_US
+
+
+def _close_idle(turn: Turn) -> None:
+    """Ask the other side to close what was idle too long; close it here if that is not done."""
+    for name, one in turn.state.connections.items():
+        if one.open:
+            continue
+        if one.leaving_at is None and turn.now - one.used_at >= turn.state.idle_us:
+            one.leaving_at = turn.now
+            turn.effects.append(AskToLeave(name))
+        elif one.leaving_at is not None and turn.now - one.leaving_at >= LEAVING_US:
+            turn.effects.append(CloseConnection(name))
+    turn.state.keys.sweep(turn.now)
+    turn.state.chores["idle"] = turn.now + IDLE_EVERY_US
+
+
+def _drain(turn: Turn) -> None:
+    """Close the fronts once the grace is over, and end once nothing is open or the time is up.
+
+    Connections are left in the agreed way and not cut, as a request may be on its way on any of them.
+    """
+    state, drain = turn.state, turn.state.drain
+    assert drain is not None
+    if not drain.closed:
+        drain.closed = True
+        turn.effects.append(StopListening())
+    for name, one in state.connections.items():
+        if one.leaving_at is None:
+            one.leaving_at = turn.now
+            turn.effects.append(AskToLeave(name))
+    if turn.now >= drain.exit_at or not (state.connections or any(e.owed for e in state.entries.values())):
+        _exit(turn)
+    else:
+        state.chores["drain"] = min(drain.exit_at, turn.now + DRAIN_EVERY_US)
+
+
+def _exit(turn: Turn) -> None:
+    """End the process; whatever is still owed an answer fails now."""
+    for entry in list(turn.state.entries.values()):
+        turn.answer(entry, Failed())
+    turn.state.chores.clear()
+    turn.state.exited = True
+    turn.effects.append(Exit())
+
+
+CHORES: dict[str, Callable[[Turn], None]] = {
+    "kernel": _connect, "report": _report, "gauges": _ask_gauges, "idle": _close_idle, "drain": _drain,
+}
+
+
+def run_chores(turn: Turn) -> None:
+    """Do the regular work that is due."""
+    for name in [name for name, at in turn.state.chores.items() if at <= turn.now]:
+        if name in turn.state.chores:
+            CHORES[name](turn)
--- /dev/null
+++ b/sagetrestle/net/routing/effects.py
@@ -0,0 +1,114 @@
+"""What the core asks for. Reading and writing happen only as these are carried out."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Union
+
+from sagetrestle.net.routing.values import Answer, CommandKind, ConnectionId, Ticket
+
+
+class Listen(NamedTuple):
+    """Open the fronts."""
+
+
+class StopListening(NamedTuple):
+    """Take no new connections."""
+
+
+class SendAnswer(NamedTuple):
+    """Give a request its final answer, with the free value where one is set."""
+
+    ticket: Ticket
+    answer: Answer
+    value: float | None
+
+
+class SendHealth(NamedTuple):
+    """Answer a health check."""
+
+    ticket: Ticket
+    good: bool
+    value: float | None
+
+
+class AskToLeave(NamedTuple):
+    """Tell the other side that no new request may come on this connection."""
+
+    connection: ConnectionId
+
+
+class CloseConnection(NamedTuple):
+    """Close a connection once what was written to it is sent."""
+
+    connection: ConnectionId
+
+
+class ConnectKernel(NamedTuple):
+    """Set up the link to the kernel."""
+
+
+class OpenKernel(NamedTuple):
+    """Say which notice was read last."""
+
+    serial: int
+
+
+class DropKernel(NamedTuple):
+    """Cut the link to the kernel off, to set it up anew."""
+
+
+class CommandRun(NamedTuple):
+    """Tell the kernel what to do with a run; ``body`` is the request's or the reply's."""
+
+    kind: CommandKind
+    id: str
+    cls: str = ""
+    body: bytes = b""
+
+
+class AskGauges(NamedTuple):
+    """Ask the kernel for the gauges."""
+
+    cookie: str
+
+
+class PostCall(NamedTuple):
+    """Make a call."""
+
+    id: str
+    timeout_ms: int
+    body: bytes
+
+
+class AbandonCall(NamedTuple):
+    """Give a call up."""
+
+    id: str
+
+
+class Report(NamedTuple):
+    """Tell the roster whether this server takes work."""
+
+    on: bool
+
+
+class Announce(NamedTuple):
+    """Publish the service records of the fronts that have them, or withdraw them."""
+
+    on: bool
+
+
+class WriteLog(NamedTuple):
+    """A line for the people on call."""
+
+    text: str
+
+
+class Exit(NamedTuple):
+    """End the process; all that had to be said was said."""
+
+
+Effect = Union[
+    Listen, StopListening, SendAnswer, SendHealth, AskToLeave, CloseConnection, ConnectKernel, OpenKernel,
+    DropKernel, CommandRun, AskGauges, PostCall, AbandonCall, Report, Announce, WriteLog, Exit,
+]
--- /dev/null
+++ b/sagetrestle/net/routing/fronts.py
@@ -0,0 +1,102 @@
+"""What comes in at the fronts: connections, requests, withdrawals, health checks."""
+
+from __future__ import annotations
+
+from sagetrestle.interface import Arrived, Gone
+from sagetrestle.net.routing import inputs
+from sagetrestle.net.routing.effects import CloseConnection, SendAnswer, SendHealth
+from sagetrestle.net.routing.state import Connection, Entry
+from sagetrestle.net.routing.turn import Turn
+from sagetrestle.net.routing.values import (
+    Answer, ConnectionEnd, ConnectionId, Failed, FailCause, Refused, Request, Ticket,
+)
+
+MAX_OPEN = 64  # requests open on one connection; front ends send 32 at the most
+NOT_UP_US = 1_000_000  # how long to stay away while the kernel is not up
+NOTED = (ConnectionEnd.MALFORMED, ConnectionEnd.TOO_LARGE, ConnectionEnd.ABORTED)
+
+
+def opened(turn: Turn, item: inputs.ConnectionOpened) -> None:
+    """Take a connection in."""
+    turn.state.connections[item.connection] = Connection(used_at=turn.now)
+
+
+def ended(turn: Turn, item: inputs.ConnectionEnded) -> None:
+    """Let a connection go; nobody waits for what is open on it."""
+    connection = turn.state.connections.pop(item.connection, None)
+    for seqid in sorted(connection.open if connection else ()):
+        _desert(turn, Ticket(item.connection, seqid))
+    if item.end in NOTED:
+        turn.log(f"connection {_name(item.connection)} ended: {item.end.value}: {item.detail}")
+
+
+def rejected(turn: Turn, item: inputs.RequestRejected) -> None:
+    """Note what a front turned down by itself."""
+    turn.log(f"connection {_name(item.connection)}: request rejected: {item.why}")
+
+
+def withdrawn(turn: Turn, item: inputs.Withdrawn) -> None:
+    """Give up a request that nobody waits for."""
+    _desert(turn, item.ticket)
+
+
+def health_asked(turn: Turn, item: inputs.HealthAsked) -> None:
+    """Answer a health check from what the module last said."""
+    connection = turn.state.connections.get(item.ticket.connection)
+    if connection:
+        connection.used_at = turn.now
+        good = turn.state.healthy and turn.state.drain is None
+        turn.effects.append(SendHealth(item.ticket, good, turn.state.value))
+
+
+def request_read(turn: Turn, item: inputs.RequestRead) -> None:
+    """Take a request in, tied to the try it repeats, and tell the module."""
+    request, state = item.request, turn.state
+    connection = state.connections.get(request.ticket.connection)
+    if connection is None:
+        return
+    if request.ticket.seqid in connection.open or len(connection.open) >= MAX_OPEN:
+        turn.log(f"connection {_name(request.ticket.connection)}: request number {request.ticket.seqid} "
+                 "is open already, or too many are")
+        turn.effects.append(CloseConnection(request.ticket.connection))
+        return
+    connection.used_at = turn.now
+    if state.policy is None:
+        _answer_now(turn, request, Refused(NOT_UP_US))
+    elif request.id in state.entries:
+        turn.log(f"request {request.id} came before under this id")
+        _answer_now(turn, request, Failed())
+    elif state.keys.conflicts(request, turn.now):
+        turn.log(f"request {request.id}: its key came before with another body")
+        _answer_now(turn, request, Failed(FailCause.CONFLICT))
+    else:
+        _take(turn, connection, request)
+
+
+def _take(turn: Turn, connection: Connection, request: Request) -> None:
+    repeats = turn.state.keys.arrive(request, turn.now)
+    connection.open.add(request.ticket.seqid)
+    turn.state.entries[request.id] = Entry(request, repeats)
+    turn.state.tickets[request.ticket] = request.id
+    turn.events.append(Arrived(
+        request.id, request.cls, request.caller, request.held_kb, 0, 0, request.subject, request.hint_us,
+        request.rank, request.retry, max(0, turn.now - request.arrived), repeats,
+    ))
+
+
+def _answer_now(turn: Turn, request: Request, answer: Answer) -> None:
+    """Answer a request that the module is not told of."""
+    turn.effects.append(SendAnswer(request.ticket, answer, turn.state.value))
+
+
+def _desert(turn: Turn, ticket: Ticket) -> None:
+    """Tell the module that a caller left, and give up what the request holds."""
+    entry = turn.state.entries.get(turn.state.tickets.get(ticket, ""))
+    if entry and entry.owed:
+        turn.release(entry)
+        turn.events.append(Gone(entry.request.id))
+        turn.give_up(entry)
+
+
+def _name(connection: ConnectionId) -> str:
+    return f"{connection.front}/{connection.number}"
--- /dev/null
+++ b/sagetrestle/net/routing/inputs.py
@@ -0,0 +1,145 @@
+"""What can happen to the core."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Union
+
+from sagetrestle.net.routing.values import (
+    CallVerdict, CommandKind, ConnectionEnd, ConnectionId, Request, RunEnd, Ticket,
+)
+
+
+class Started(NamedTuple):
+    """The program is up."""
+
+
+class StopAsked(NamedTuple):
+    """The notice to leave came."""
+
+
+class ConnectionOpened(NamedTuple):
+    """A front took a connection."""
+
+    connection: ConnectionId
+
+
+class ConnectionEnded(NamedTuple):
+    """A front's connection is over."""
+
+    connection: ConnectionId
+    end: ConnectionEnd
+    detail: str = ""
+
+
+class RequestRead(NamedTuple):
+    """A front read a request."""
+
+    request: Request
+
+
+class RequestRejected(NamedTuple):
+    """A front answered by itself what is no request that the core could take."""
+
+    connection: ConnectionId
+    why: str
+
+
+class Withdrawn(NamedTuple):
+    """Nobody waits for this request any longer."""
+
+    ticket: Ticket
+
+
+class HealthAsked(NamedTuple):
+    """A health check was read."""
+
+    ticket: Ticket
+
+
+class KernelConnected(NamedTuple):
+    """The link to the kernel stands, with nothing said on it yet."""
+
+
+class KernelLost(NamedTuple):
+    """The link to the kernel is over, or could not be set up."""
+
+    end: ConnectionEnd
+    detail: str = ""
+
+
+class KernelBooted(NamedTuple):
+    """The kernel is up, and has been for so long."""
+
+    cold: bool
+    age_us: int
+
+
+class RunOver(NamedTuple):
+    """A run is over."""
+
+    serial: int
+    id: str
+    end: RunEnd
+    took_us: int
+    result: bytes
+
+
+class RunCalls(NamedTuple):
+    """A run waits for a call with this body."""
+
+    serial: int
+    id: str
+    body: bytes
+
+
+class GaugesRead(NamedTuple):
+    """The gauges, in the order of the settings."""
+
+    cookie: str
+    stats: tuple[float | None, ...]
+
+
+class CommandRejected(NamedTuple):
+    """The kernel did not carry out a command; ``kind`` is None where it is not known here."""
+
+    kind: CommandKind | None
+    id: str
+    word: str
+
+
+class KernelRemark(NamedTuple):
+    """A notice with no meaning, but with a number."""
+
+    serial: int
+    text: str
+
+
+class CallAnswered(NamedTuple):
+    """The ledger answered a call."""
+
+    id: str
+    verdict: CallVerdict
+    reply: bytes
+
+
+class CallBroken(NamedTuple):
+    """The connection of a call ended; ``written`` tells whether any of the call had been sent."""
+
+    id: str
+    end: ConnectionEnd
+    written: bool
+
+
+class LedgerLost(NamedTuple):
+    """A connection to the ledger ended in a way worth a line in the log."""
+
+    end: ConnectionEnd
+    detail: str
+
+
+Input = Union[
+    Started, StopAsked, ConnectionOpened, ConnectionEnded, RequestRead, RequestRejected, Withdrawn,
+    HealthAsked, KernelConnected, KernelLost, KernelBooted, RunOver, RunCalls, GaugesRead, CommandRejected,
+    KernelRemark,
+    CallAnswered, CallBroken, LedgerLost,
+]
--- /dev/null
+++ b/sagetrestle/net/routing/keys.py
@@ -0,0 +1,160 @@
+"""Which requests repeat which: the table of kept requests, their results, and the windows of what ran.
+
+The module says what to keep and for how long. On top of that each key remembers the try that ran until its
+window is over, so that no later try can run within it whatever became of the entry.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+
+from sagetrestle.interface import Effect, Settings
+from sagetrestle.net.routing.values import Request
+
+Key = tuple[str, int, str]
+MARGIN_US = 5_000  # ``s`` is in whole milliseconds and its rounding is the other side's
+LATE_READ_US = 15_000_000  # how long after its arrival a repeat may still be read: over any class's limit
+
+
+@dataclass(slots=True)
+class Finished:
+    """A try that is over; ``result`` is None where there is none to give."""
+
+    result: bytes | None
+    until: int
+
+
+@dataclass(slots=True)
+class KeyState:
+    """What is known of one key."""
+
+    digest: bytes
+    holder: str | None = None  # the try that the entry stands for, while it lives
+    held_until: int = 0
+    ran: str | None = None  # the last try that ran
+    ran_until: int = 0  # the end of its window, counted from its arrival
+    latest: str | None = None  # the last try read in this turn
+    touched: int = 0
+
+
+@dataclass(slots=True)
+class KeyTable:
+    """All keys, and the results of tries that may still be repeated."""
+
+    settings: Settings
+    keys: dict[Key, KeyState] = field(default_factory=dict)
+    results: dict[str, Finished] = field(default_factory=dict)
+    names: dict[str, Key] = field(default_factory=dict)  # kept or run tries, by id
+    turn_keys: list[Key] = field(default_factory=list)
+    next_sweep: int = 0
+
+    def key_of(self, request: Request) -> Key | None:
+        """Return the key that ties a request to its repeats, if it has one that counts."""
+        effect = self.settings.classes[request.cls].effect
+        if effect is Effect.KEYED and request.key:
+            return ("keyed", request.cls, request.key)
+        if effect is Effect.SAFE and request.subject and self.settings.fresh_us:
+            return ("read", request.cls, request.subject)
+        return None
+
+    def conflicts(self, request: Request, now: int) -> bool:
+        """Tell whether a living key came before with another body."""
+        key = self.key_of(request)
+        state = self.keys.get(key) if key else None
+        if state is None or key is None or key[0] != "keyed":
+            return False
+        alive = state.latest or self._holder(state, request, now)
+        return bool(alive) and state.digest != _digest(request.body)
+
+    def arrive(self, request: Request, now: int) -> str | None:
+        """Take a request that was read and return the try that it repeats.
+
+        A try that is read in the same turn counts though nothing was kept of it yet: without that, two tries
+        read together would not know of each other and each might run.
+        """
+        key = self.key_of(request)
+        if key is None:
+            return None
+        state = self.keys.setdefault(key, KeyState(_digest(request.body)))
+        earlier = self._holder(state, request, now) or state.latest
+        if earlier is None:
+            state.digest = _digest(request.body)
+        state.latest, state.touched = request.id, now
+        self.turn_keys.append(key)
+        return earlier
+
+    def end_turn(self) -> None:
+        """Forget which tries were read together."""
+        for key in self.turn_keys:
+            if key in self.keys:
+                self.keys[key].latest = None
+        self.turn_keys.clear()
+
+    def keep(self, request: Request, until: int) -> None:
+        """Let the entry stand for this try until then."""
+        key = self.key_of(request)
+        if key is not None:
+            state = self.keys.setdefault(key, KeyState(_digest(request.body)))
+            state.holder, state.held_until = request.id, until
+            self.names[request.id] = key
+
+    def forget(self, id: str) -> None:
+        """Remove the entry, if it still stands for this try."""
+        state = self.keys.get(self.names.get(id, ("", 0, "")))
+        if state and state.holder == id:
+            state.holder = None
+
+    def started(self, request: Request) -> None:
+        """Remember that a try runs: its window counts from its arrival."""
+        key = self.key_of(request)
+        if key is None or key[0] != "keyed":
+            return
+        state = self.keys.setdefault(key, KeyState(_digest(request.body)))
+        state.ran = request.id
+        state.ran_until = request.arrived + self.settings.classes[request.cls].window_us + MARGIN_US
+        self.names[request.id] = key
+
+    def may_start(self, request: Request) -> bool:
+        """Tell whether no other try of a keyed request ran whose window holds this one's arrival."""
+        key = self.key_of(request)
+        state = self.keys.get(key) if key and key[0] == "keyed" else None
+        return not state or state.ran in (None, request.id) or request.arrived > state.ran_until
+
+    def finish(self, request: Request, result: bytes | None, now: int) -> None:
+        """Keep what became of a try as long as a repeat of it can be read."""
+        if request.id not in self.names:
+            return
+        key = self.names[request.id]
+        state = self.keys[key]
+        until = max(state.held_until, state.ran_until)
+        if key[0] == "read":  # a read may be repeated only while what it found is fresh
+            until = now + self.settings.fresh_us if result is not None else now
+            state.held_until = min(state.held_until, until)
+        self.results[request.id] = Finished(result, until + LATE_READ_US)
+
+    def result(self, id: str) -> Finished | None:
+        """Return what became of a try that is over."""
+        return self.results.get(id)
+
+    def sweep(self, now: int) -> None:
+        """Drop what can not be asked for any more."""
+        if now < self.next_sweep:
+            return
+        self.next_sweep = now + 1_000_000
+        self.results = {id: one for id, one in self.results.items() if one.until > now}
+        self.keys = {key: one for key, one in self.keys.items()
+                     if max(one.held_until, one.ran_until, one.touched) + LATE_READ_US > now}
+        self.names = {id: key for id, key in self.names.items() if key in self.keys}
+
+    def _holder(self, state: KeyState, request: Request, now: int) -> str | None:
+        """Return the try with the living entry, or the one that ran and whose window holds the arrival."""
+        if state.holder and state.held_until >= now:
+            return state.holder
+        if state.ran and request.arrived <= state.ran_until:
+            return state.ran
+        return None
+
+
+def _digest(body: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=16).digest()
--- /dev/null
+++ b/sagetrestle/net/routing/reducer.py
@@ -0,0 +1,75 @@
+"""The one place where state changes: inputs go in with the time, effects come out."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from sagetrestle.interface import Woke
+from sagetrestle.net.routing import calls, chores, fronts, inputs, runs
+from sagetrestle.net.routing.actions import carry_out
+from sagetrestle.net.routing.effects import Effect
+from sagetrestle.net.routing.state import State
+from sagetrestle.net.routing.turn import Turn
+
+HANDLERS: dict[type, Callable[[Turn, Any], None]] = {
+    inputs.Started: chores.started,
+    inputs.StopAsked: chores.stop_asked,
+    inputs.ConnectionOpened: fronts.opened,
+    inputs.ConnectionEnded: fronts.ended,
+    inputs.RequestRead: fronts.request_read,
+    inputs.RequestRejected: fronts.rejected,
+    inputs.Withdrawn: fronts.withdrawn,
+    inputs.HealthAsked: fronts.health_asked,
+    inputs.KernelConnected: runs.connected,
+    inputs.KernelLost: runs.lost,
+    inputs.KernelBooted: runs.booted,
+    inputs.RunOver: runs.over,
+    inputs.RunCalls: runs.calls,
+    inputs.GaugesRead: runs.gauges_read,
+    inputs.CommandRejected: runs.command_rejected,
+    inputs.KernelRemark: runs.remark,
+    inputs.CallAnswered: calls.answered,
+    inputs.CallBroken: calls.broken,
+    inputs.LedgerLost: calls.ledger_lost,
+}
+
+
+def reduce(state: State, now: int, items: Sequence[inputs.Input]) -> list[Effect]:
+    """Take what came in at ``now`` and return what is to be done, in order."""
+    turn = Turn(state, now)
+    if state.exited:
+        return []
+    for item in items:
+        HANDLERS[type(item)](turn, item)
+    _wake(turn)
+    calls.give_up_late(turn)
+    _run_module(turn)
+    chores.run_chores(turn)
+    _run_module(turn)
+    state.keys.end_turn()
+    return turn.effects
+
+
+def next_due(state: State) -> int | None:
+    """Return when the next turn is due though nothing comes in."""
+    times = [*state.chores.values(), *state.calls.values()]
+    if state.wakes:
+        times.append(state.wakes[0][0])
+    return min(times, default=None)
+
+
+def _wake(turn: Turn) -> None:
+    """Tell the module of its timers that are due, with the gauges last read."""
+    wakes = turn.state.wakes
+    while wakes and wakes[0][0] <= turn.now:
+        turn.events.append(Woke(heapq.heappop(wakes)[1], turn.state.gauges))
+
+
+def _run_module(turn: Turn) -> None:
+    """Let the module decide until nothing more follows from what it decided."""
+    while turn.events and turn.state.policy:
+        events, turn.events = turn.events, []
+        for action in turn.state.policy.handle(turn.now, events):
+            carry_out(turn, action)
--- /dev/null
+++ b/sagetrestle/net/routing/runs.py
@@ -0,0 +1,154 @@
+"""What the kernel says: its link, the ends of runs, calls, gauges, refused commands."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from sagetrestle.interface import AtCall, Gauges, Gone, RunEnded
+from sagetrestle.logic import Policy
+from sagetrestle.net.routing import inputs
+from sagetrestle.net.routing.actions import carry_out
+from sagetrestle.net.routing.effects import AbandonCall, AskGauges, OpenKernel
+from sagetrestle.net.routing.outcomes import run_outcome
+from sagetrestle.net.routing.state import Entry, Link, Phase
+from sagetrestle.net.routing.turn import Turn
+from sagetrestle.net.routing.values import CommandKind, ConnectionEnd, Failed, RunEnd, Served
+
+BACKOFF_FIRST_US, BACKOFF_MOST_US = 20_000, 500_000
+IN_DOUBT_US = 2_000_000  # what was written longer before a link's end was read at the other side
+
+
+def connected(turn: Turn, _: inputs.KernelConnected) -> None:
+    """Say which notice was read last."""
+    turn.state.kernel.link = Link.OPENED
+    turn.effects.append(OpenKernel(turn.state.kernel.serial))
+
+
+def lost(turn: Turn, item: inputs.KernelLost) -> None:
+    """Set the link up anew after a pause; runs go on meanwhile."""
+    kernel = turn.state.kernel
+    if kernel.link in (Link.UP, Link.SYNCING) or item.end is ConnectionEnd.MALFORMED:
+        turn.log(f"kernel link lost: {item.end.value}{': ' if item.detail else ''}{item.detail}")
+    if kernel.link is Link.UP:
+        kernel.lost_at, kernel.backoff_us = turn.now, 0
+    kernel.link = Link.DOWN
+    kernel.backoff_us = min(BACKOFF_MOST_US, max(BACKOFF_FIRST_US, 2 * kernel.backoff_us))
+    turn.state.chores["kernel"] = turn.now + kernel.backoff_us
+
+
+def booted(turn: Turn, item: inputs.KernelBooted) -> None:
+    """Start the module with the first word; ask for the gauges, whose answer follows what was missed."""
+    state = turn.state
+    if state.policy is None:
+        settings = replace(state.plan.settings, cold=item.cold)
+        state.policy = Policy(settings, state.plan.seed)
+        born = turn.now - item.age_us
+        turn.log(f"kernel up, {'cold' if item.cold else 'warm'}, for {item.age_us // 1000} ms")
+        _run_module_at_birth(turn, born)
+    state.kernel.link = Link.SYNCING
+    state.kernel.syncs += 1
+    turn.effects.append(AskGauges(_sync_cookie(turn)))
+
+
+def _run_module_at_birth(turn: Turn, born: int) -> None:
+    """Let the module's first turn be at the kernel's start, from which it reckons how warm the cores are."""
+    assert turn.state.policy is not None
+    for action in turn.state.policy.handle(born, []):
+        carry_out(turn, action)
+
+
+def gauges_read(turn: Turn, item: inputs.GaugesRead) -> None:
+    """Take the gauges; the answer to the question asked at the link's start ends the catching up."""
+    names = turn.state.plan.gauges
+    told = dict(zip(names, item.stats, strict=False))
+    turn.state.gauges = Gauges(told.get("core_use"), told.get("on_cores"), told.get("heap_share"),
+                               told.get("links"))
+    if turn.state.kernel.link is Link.SYNCING and item.cookie == _sync_cookie(turn):
+        turn.state.kernel.link = Link.UP
+        _resend(turn)
+
+
+def _sync_cookie(turn: Turn) -> str:
+    return f"sync{turn.state.kernel.syncs}"
+
+
+def _resend(turn: Turn) -> None:
+    """Write again what may have been lost with the last link.
+
+    Everything that was missed has been read by now, so a run that ended meanwhile is not started again; a
+    command that did arrive changes nothing the second time.
+    """
+    kernel = turn.state.kernel
+    for entry in turn.state.entries.values():
+        for command in entry.unconfirmed:
+            if command.sent_at is not None and command.sent_at < kernel.lost_at - IN_DOUBT_US:
+                continue
+            entry.resent = entry.resent or command.sent_at is not None
+            command.sent_at = turn.now
+            turn.effects.append(command.what)
+
+
+def _noticed(turn: Turn, serial: int, id: str) -> tuple[bool, Entry | None]:
+    """Tell whether a notice is new, and return the request it is about; it confirms all commands."""
+    if serial <= turn.state.kernel.serial:
+        return False, None
+    turn.state.kernel.serial = serial
+    entry = turn.state.entries.get(id)
+    if entry:
+        entry.unconfirmed.clear()
+        entry.resent = False
+    return True, entry
+
+
+def remark(turn: Turn, item: inputs.KernelRemark) -> None:
+    """Count a notice without meaning as read."""
+    _noticed(turn, item.serial, "")
+
+
+def calls(turn: Turn, item: inputs.RunCalls) -> None:
+    """Take a run off the cores: it waits for a call."""
+    new, entry = _noticed(turn, item.serial, item.id)
+    if new and entry:
+        entry.phase, entry.pausing, entry.call_body = Phase.AT_CALL, False, item.body
+        turn.events.append(AtCall(item.id))
+
+
+def over(turn: Turn, item: inputs.RunOver) -> None:
+    """Answer with the result of a run, take its pause in, or end it."""
+    new, entry = _noticed(turn, item.serial, item.id)
+    if not new or entry is None:
+        return
+    if item.end is RunEnd.ABORTED and entry.owed and entry.pausing:
+        entry.phase, entry.pausing = Phase.PAUSED, False
+    else:
+        _finish(turn, entry, item)
+    turn.events.append(RunEnded(item.id, run_outcome(item.end), item.took_us))
+
+
+def _finish(turn: Turn, entry: Entry, item: inputs.RunOver) -> None:
+    """End a request whose run is over for good.
+
+    A run that ends as 'aborted' though no pause was asked for has lost its caller: the withdrawal is still on
+    its way here, on another connection. Without the ``Gone`` the module would wait for this run for ever.
+    """
+    if entry.phase is Phase.CALLING:
+        turn.effects.append(AbandonCall(item.id))
+    if item.end is RunEnd.ABORTED and entry.owed:
+        turn.events.append(Gone(item.id))
+    done = item.end is RunEnd.DONE
+    turn.answer(entry, Served(item.result) if done else turn.failure(entry))
+    turn.over(entry, item.result if done else None)
+
+
+def command_rejected(turn: Turn, item: inputs.CommandRejected) -> None:
+    """Resolve a command that the kernel did not carry out: what should run does not, so the request fails."""
+    turn.log(f"kernel rejected {item.word} of {item.id}")
+    entry = turn.state.entries.get(item.id)
+    if entry is None or item.kind in (None, CommandKind.PAUSE):
+        return
+    if entry.resent:
+        entry.resent = False
+        return
+    turn.answer(entry, Failed())
+    turn.over(entry)
+    turn.events.append(RunEnded(item.id, run_outcome(RunEnd.CRASHED)))
--- /dev/null
+++ b/sagetrestle/net/routing/state.py
@@ -0,0 +1,115 @@
+"""All that the core holds. Only the reducer changes it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from sagetrestle.interface import Gauges
+from sagetrestle.logic import Policy
+from sagetrestle.net.routing.effects import CommandRun
+from sagetrestle.net.routing.keys import KeyTable
+from sagetrestle.net.routing.values import ConnectionId, Plan, Request, Ticket
+
+
+class Phase(Enum):
+    """Where a request stands."""
+
+    HELD = "held"
+    RUNNING = "running"
+    PAUSED = "paused"
+    AT_CALL = "at a call not made"
+    CALLING = "at a call in hand"
+    JOINED = "waiting for the try it repeats"
+
+
+@dataclass(slots=True)
+class Command:
+    """A command that no notice has confirmed yet; ``sent_at`` is None while there was no link."""
+
+    what: CommandRun
+    sent_at: int | None
+
+
+@dataclass(slots=True)
+class Entry:
+    """One request from its reading until its answer is given and its run is over."""
+
+    request: Request
+    repeats: str | None = None
+    phase: Phase = Phase.HELD
+    owed: bool = True  # an answer
+    ran: bool = False
+    pausing: bool = False
+    resent: bool = False
+    unconfirmed: list[Command] = field(default_factory=list)
+    joined: list[str] = field(default_factory=list)
+    call_body: bytes = b""
+    call_from: int = 0
+
+
+@dataclass(slots=True)
+class Connection:
+    """A front's connection: the numbers of its open requests, and its idle time."""
+
+    open: set[int] = field(default_factory=set)
+    used_at: int = 0
+    leaving_at: int | None = None
+
+
+class Link(Enum):
+    """How far the link to the kernel is."""
+
+    DOWN = "down"
+    CONNECTING = "connecting"
+    OPENED = "opened, the kernel not known to be up"
+    SYNCING = "reading what was missed"
+    UP = "up"
+
+
+@dataclass(slots=True)
+class Kernel:
+    """The link to the kernel."""
+
+    link: Link = Link.DOWN
+    serial: int = 0
+    lost_at: int = 0
+    backoff_us: int = 0
+    syncs: int = 0
+
+
+@dataclass(slots=True)
+class Drain:
+    """The notice to leave: when it came, when the listening ends, when the process must be gone."""
+
+    at: int
+    close_at: int
+    exit_at: int
+    closed: bool = False
+
+
+@dataclass(slots=True)
+class State:
+    """One server."""
+
+    plan: Plan
+    keys: KeyTable
+    policy: Policy | None = None
+    entries: dict[str, Entry] = field(default_factory=dict)
+    tickets: dict[Ticket, str] = field(default_factory=dict)
+    connections: dict[ConnectionId, Connection] = field(default_factory=dict)
+    calls: dict[str, int] = field(default_factory=dict)  # calls in hand, and when each is given up
+    wakes: list[tuple[int, int]] = field(default_factory=list)  # a heap of due time and token
+    chores: dict[str, int] = field(default_factory=dict)  # regular work, and when each is due
+    gauges: Gauges = field(default_factory=Gauges)
+    kernel: Kernel = field(default_factory=Kernel)
+    drain: Drain | None = None
+    healthy: bool = True
+    value: float | None = None
+    idle_us: int = 0
+    exited: bool = False
+
+
+def new_state(plan: Plan) -> State:
+    """Return the state of a server that starts."""
+    return State(plan, KeyTable(plan.settings), idle_us=plan.settings.idle_max_us)
--- /dev/null
+++ b/sagetrestle/net/routing/values.py
@@ -0,0 +1,123 @@
+"""The neutral words of the core: requests, answers, and the ways in which connections, runs and calls end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple, Union
+
+from sagetrestle.interface import Settings
+
+
+class ConnectionId(NamedTuple):
+    """One connection of one front."""
+
+    front: str
+    number: int
+
+
+class Ticket(NamedTuple):
+    """Where an answer belongs: a connection, and the request's number on it."""
+
+    connection: ConnectionId
+    seqid: int
+
+
+class Request(NamedTuple):
+    """What any front makes of a request; times are microseconds on the program's clock."""
+
+    ticket: Ticket
+    id: str
+    cls: int
+    arrived: int
+    caller: int
+    body: bytes
+    held_kb: float = 0.0
+    hint_us: int = 0
+    rank: float = 0.0
+    retry: bool = False
+    key: str | None = None
+    subject: str | None = None
+
+
+class Served(NamedTuple):
+    """The result that a run made, unchanged."""
+
+    result: bytes
+
+
+class Refused(NamedTuple):
+    """Turned away: this try never ran. ``last`` asks that no other server be tried."""
+
+    retry_after_us: int = 0
+    last: bool = False
+
+
+class FailCause(Enum):
+    """Why a request failed, for fronts that can say so."""
+
+    RUN = "the run or a call failed, or the request was given up"
+    OVERDUE = "its due time is over"
+    CONFLICT = "its key came before with another body"
+
+
+class Failed(NamedTuple):
+    """An error, which promises nothing about what ran."""
+
+    cause: FailCause = FailCause.RUN
+
+
+Answer = Union[Served, Refused, Failed]
+
+
+class ConnectionEnd(Enum):
+    """Every way in which a connection can end, from whichever side and on whichever wire."""
+
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+    CONNECT_TIMED_OUT = "not set up in time"
+    CLOSED = "closed by the other side"
+    RESET = "reset"
+    TIMED_OUT = "timed out"
+    MALFORMED = "malformed input"
+    TOO_LARGE = "input over its bound"
+    LEFT = "closed here"
+    ABORTED = "cut off here"
+
+
+class RunEnd(Enum):
+    """How the kernel says that a run ended."""
+
+    DONE = "done"
+    CRASHED = "crashed"
+    ABORTED = "aborted"
+    STALE = "stale"
+
+
+class CallVerdict(Enum):
+    """What the ledger says of a call."""
+
+    POSTED = "posted"
+    QUEUE_FULL = "queue_full"
+    ERROR = "error"
+    EXPIRED = "expired"
+    MOOT = "moot"
+
+
+class CommandKind(Enum):
+    """What the core asks the kernel to do with a run."""
+
+    START = "start"
+    PAUSE = "pause"
+    RESUME = "resume"
+    REPLY = "reply"
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What the core is told of its place, from the configuration."""
+
+    settings: Settings
+    stop_us: int
+    gauges: tuple[str, ...] = ()
+    seed: int = 0
--- /dev/null
+++ b/sagetrestle/net/transport/connection.py
@@ -0,0 +1,109 @@
+"""What all server connections share: a number, bounded buffers, one end."""
+
+from __future__ import annotations
+
+from typing import Generic, TypeVar
+
+from twisted.internet.interfaces import IListeningPort, IPushProducer
+from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from sagetrestle.net.protocol.errors import ProtocolError
+from sagetrestle.net.routing.inputs import ConnectionEnded, ConnectionOpened
+from sagetrestle.net.routing.values import ConnectionEnd, ConnectionId
+from sagetrestle.net.transport.ends import Post, end_of, end_of_fault
+
+
+@implementer(IPushProducer)
+class FrontConnection(Protocol):
+    """A connection that reads nothing more while the other side does not take its answers.
+
+    As few requests are open on a connection, what waits to be written to it is bounded by that.
+    """
+
+    factory: Front
+    name: ConnectionId
+
+    def connectionMade(self) -> None:  # noqa: D102
+        self._broken: tuple[ConnectionEnd, str] | None = None
+        if self.factory.full():
+            self.transport.abortConnection()
+            return
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.factory.admit(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: D102
+        if self._broken:
+            return
+        try:
+            self.read(data)
+        except ProtocolError as fault:
+            self.broken(fault)
+
+    def read(self, data: bytes) -> None:
+        """Take bytes in."""
+        raise NotImplementedError
+
+    def broken(self, fault: ProtocolError) -> None:
+        """End the connection: where the bytes can not be read, nothing after them can be."""
+        self._broken = (end_of_fault(fault), str(fault))
+        self.transport.unregisterProducer()
+        self.transport.abortConnection()
+
+    def close(self) -> None:
+        """Close once what was written is sent."""
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
+        if self.factory.connections.pop(getattr(self, "name", None), None):
+            end, detail = self._broken or (end_of(reason), "")
+            self.factory.post(ConnectionEnded(self.name, end, detail))
+
+    def pauseProducing(self) -> None:  # noqa: D102
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: D102
+        self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:
+        """Stop at the transport's word; ``connectionLost`` follows."""
+
+
+C = TypeVar("C", bound=FrontConnection)
+
+
+class Front(ServerFactory, Generic[C]):
+    """The connections of one front, by name; it holds nothing about requests."""
+
+    noisy = False
+
+    def __init__(self, kind: str, protocol: type[C], post: Post, most: int) -> None:
+        self.kind, self.protocol, self.post, self.most = kind, protocol, post, most
+        self.connections: dict[ConnectionId, C] = {}
+        self.port: IListeningPort | None = None
+        self._count = 0
+
+    def full(self) -> bool:
+        """Tell whether no further connection fits: descriptors are bounded, and others need theirs."""
+        return len(self.connections) >= self.most
+
+    def admit(self, connection: C) -> None:
+        """Name a new connection."""
+        self._count += 1
+        connection.name = ConnectionId(self.kind, self._count)
+        self.connections[connection.name] = connection
+        self.post(ConnectionOpened(connection.name))
+
+    def stop_listening(self) -> None:
+        """Close the listening socket, after taking in what already waits on it.
+
+        A connection that the machine accepted but that was never taken in would be reset, and a request
+        written to it lost.
+        """
+        if self.port is not None:
+            self.port.doRead()
+            self.port.stopListening()
+            self.port = None
--- /dev/null
+++ b/sagetrestle/net/transport/ends.py
@@ -0,0 +1,37 @@
+"""Reading Twisted's reasons as the one value for how a connection ended."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from twisted.internet import error
+from twisted.python.failure import Failure
+
+from sagetrestle.net.protocol.errors import Fault, ProtocolError
+from sagetrestle.net.routing.inputs import Input
+from sagetrestle.net.routing.values import ConnectionEnd
+
+Post = Callable[[Input], None]
+
+REASONS: tuple[tuple[type[BaseException], ConnectionEnd], ...] = (
+    (error.ConnectionRefusedError, ConnectionEnd.REFUSED),
+    (error.TimeoutError, ConnectionEnd.CONNECT_TIMED_OUT),
+    (error.ConnectError, ConnectionEnd.UNREACHABLE),
+    (error.ConnectionDone, ConnectionEnd.CLOSED),
+    (error.ConnectionAborted, ConnectionEnd.ABORTED),
+    (error.ConnectionLost, ConnectionEnd.RESET),
+)
+FAULTS = {Fault.MALFORMED: ConnectionEnd.MALFORMED, Fault.TOO_LARGE: ConnectionEnd.TOO_LARGE}
+
+
+def end_of(reason: Failure) -> ConnectionEnd:
+    """Return how a connection ended; what is not known reads as a reset, which proves nothing."""
+    for kind, end in REASONS:
+        if reason.check(kind):
+            return end
+    return ConnectionEnd.RESET
+
+
+def end_of_fault(fault: ProtocolError) -> ConnectionEnd:
+    """Return how a connection ends whose input can not be read."""
+    return FAULTS[fault.fault]
--- /dev/null
+++ b/sagetrestle/net/transport/kernel_link.py
@@ -0,0 +1,104 @@
+"""The link to the kernel."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from sagetrestle.net.protocol import kernel
+from sagetrestle.net.protocol.errors import ProtocolError
+from sagetrestle.net.routing import inputs
+from sagetrestle.net.routing.effects import CommandRun
+from sagetrestle.net.routing.values import CommandKind, ConnectionEnd, RunEnd
+from sagetrestle.net.transport.ends import Post, end_of, end_of_fault
+
+CONNECT_TIMEOUT_S = 2
+WORDS = {"SCHED": CommandKind.START, "PREEMPT": CommandKind.PAUSE, "RESCHED": CommandKind.RESUME,
+         "IODONE": CommandKind.REPLY}
+
+
+def to_input(notice: kernel.Notice) -> inputs.Input:
+    """Translate a notice."""
+    match notice:
+        case kernel.Booted(how, duration):
+            return inputs.KernelBooted(how == "fresh", int(duration * 1000))
+        case kernel.Reap(serial, call, how, duration, blob):
+            return inputs.RunOver(serial, call, RunEnd(how), int(duration * 1000), blob)
+        case kernel.IoReq(serial, call, blob):
+            return inputs.RunCalls(serial, call, blob)
+        case kernel.Info(cookie, stats):
+            return inputs.GaugesRead(cookie, stats)
+        case kernel.Einval(how, call):
+            return inputs.CommandRejected(WORDS.get(how), call, how)
+        case kernel.Dmesg(serial, how):
+            return inputs.KernelRemark(serial, how)
+        case kernel.Unknown(msg, serial):
+            return inputs.KernelRemark(serial, msg)
+
+
+def encode(what: CommandRun) -> bytes:
+    """Write a command."""
+    match what.kind:
+        case CommandKind.START:
+            return kernel.encode_sched(what.id, what.cls, what.body)
+        case CommandKind.PAUSE:
+            return kernel.encode_preempt(what.id)
+        case CommandKind.RESUME:
+            return kernel.encode_resched(what.id)
+        case CommandKind.REPLY:
+            return kernel.encode_iodone(what.id, what.body)
+
+
+class KernelConnection(Protocol):
+    """One link; a newer one takes its place."""
+
+    def __init__(self, post: Post) -> None:
+        self._post = post
+        self._notices = kernel.NoticeDecoder()
+        self._broken: tuple[ConnectionEnd, str] | None = None
+
+    def connectionMade(self) -> None:  # noqa: D102
+        self.transport.setTcpNoDelay(True)
+        self._post(inputs.KernelConnected())
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: D102
+        if self._broken:
+            return
+        try:
+            for notice in self._notices.feed(data):
+                self._post(to_input(notice))
+        except ProtocolError as fault:
+            self._broken = (end_of_fault(fault), str(fault))
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
+        self._post(inputs.KernelLost(*(self._broken or (end_of(reason), ""))))
+
+
+class KernelLink:
+    """Sets the link up when asked and writes to the one that stands."""
+
+    def __init__(self, reactor: Any, address: tuple[str, int], post: Post) -> None:
+        self._endpoint = TCP4ClientEndpoint(reactor, *address, timeout=CONNECT_TIMEOUT_S)
+        self._post = post
+        self._standing: KernelConnection | None = None
+
+    def connect(self) -> None:
+        """Set the link up; how that ends comes as an input."""
+        factory = Factory.forProtocol(lambda: KernelConnection(self._post))  # type: ignore[arg-type]
+        factory.noisy = False
+        self._endpoint.connect(factory).addCallbacks(self._connected, self._failed)
+
+    def _connected(self, connection: KernelConnection) -> None:
+        self._standing = connection
+
+    def _failed(self, reason: Failure) -> None:
+        self._post(inputs.KernelLost(end_of(reason)))
+
+    def write(self, data: bytes) -> None:
+        """Write to the link; what is written to one that has just ended is written again after the next."""
+        if self._standing is not None and self._standing.transport.connected:
+            self._standing.transport.write(data)
--- /dev/null
+++ b/sagetrestle/net/transport/roster.py
@@ -0,0 +1,27 @@
+"""Reports to the roster, one datagram each."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+from sagetrestle.net.protocol.roster import encode_report
+
+
+class Roster(DatagramProtocol):
+    """Sends reports; the roster answers nothing and may be down."""
+
+    noisy = False
+
+    def __init__(self, name: str, address: tuple[str, int]) -> None:
+        self._name, self._address = name, address
+
+    def listen(self, reactor: Any, host: str) -> None:
+        """Take a socket to send from."""
+        reactor.listenUDP(0, self, interface=host)
+
+    def report(self, on: bool) -> None:
+        """Send one report; a socket that can not send now does at the next."""
+        if self.transport is not None:
+            self.transport.write(encode_report(self._name, on), self._address)
--- /dev/null
+++ b/sagetrestle/net/transport/thrift_front.py
@@ -0,0 +1,100 @@
+"""The front that speaks Thrift with the platform's front ends."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sagetrestle.interface import Settings
+from sagetrestle.net.protocol import thrift
+from sagetrestle.net.routing.inputs import HealthAsked, RequestRead, RequestRejected, Withdrawn
+from sagetrestle.net.routing.values import Answer, Refused, Request, Served, Ticket
+from sagetrestle.net.transport.connection import Front, FrontConnection
+from sagetrestle.net.transport.ends import Post
+
+MOST_CONNECTIONS = 640  # front ends open up to half of 1,024 descriptors
+
+
+class ThriftConnection(FrontConnection):
+    """One front end's connection."""
+
+    factory: ThriftFront
+
+    def connectionMade(self) -> None:  # noqa: D102
+        self._frames = thrift.FrameDecoder()
+        super().connectionMade()
+
+    def read(self, data: bytes) -> None:  # noqa: D102
+        for frame in self._frames.feed(data):
+            self._take(thrift.read_call(thrift.decode_message(frame)))
+
+    def _take(self, call: object) -> None:
+        post = self.factory.post
+        if isinstance(call, thrift.Handle):
+            self._handle(call)
+        elif isinstance(call, thrift.Withdraw):
+            post(Withdrawn(Ticket(self.name, call.target)))
+        elif isinstance(call, thrift.Status):
+            post(HealthAsked(Ticket(self.name, call.seqid)))
+        elif isinstance(call, thrift.BadFields):
+            self._reject("handle", call.seqid, thrift.PROTOCOL_ERROR, call.why)
+        elif isinstance(call, thrift.UnknownMethod):
+            self._reject(call.name, call.seqid, thrift.UNKNOWN_METHOD, "unknown method", call.oneway)
+
+    def _handle(self, call: thrift.Handle) -> None:
+        cls = self.factory.classes.get(call.cls)
+        if cls is None:
+            self._reject("handle", call.seqid, thrift.PROTOCOL_ERROR, "field 'c' names no class")
+            return
+        arrived = self.factory.from_unix_ms(call.stamp_ms)
+        self.factory.post(RequestRead(Request(
+            Ticket(self.name, call.seqid), call.id, cls, arrived, call.caller, call.body,
+            call.held_kb, int(call.hint_ms * 1000), call.rank, call.retry, call.key, call.subject,
+        )))
+
+    def _reject(self, name: str, seqid: int, code: int, why: str, oneway: bool = False) -> None:
+        """Answer a call that is well formed but can not be carried out."""
+        if not oneway:
+            self.transport.write(thrift.encode_exception(name, seqid, code, why))
+        self.factory.post(RequestRejected(self.name, f"{name!r}: {why}"))
+
+
+class ThriftFront(Front[ThriftConnection]):
+    """Writes the core's answers as the service ``Front`` has them."""
+
+    def __init__(self, settings: Settings, post: Post, from_unix_ms: Callable[[int], int]) -> None:
+        super().__init__("thrift", ThriftConnection, post, MOST_CONNECTIONS)
+        self.classes = {cls.name: at for at, cls in enumerate(settings.classes)}
+        self.from_unix_ms = from_unix_ms
+
+    def send(self, ticket: Ticket, answer: Answer, value: float | None) -> None:
+        """Write a final answer."""
+        connection = self.connections.get(ticket.connection)
+        if connection:
+            connection.transport.write(_encode(ticket.seqid, answer, _value(value)))
+
+    def send_health(self, ticket: Ticket, good: bool, value: float | None) -> None:
+        """Write the answer to a health check."""
+        connection = self.connections.get(ticket.connection)
+        if connection:
+            connection.transport.write(
+                thrift.encode_answer("status", ticket.seqid, b"", _value(value), good))
+
+    def leave(self, connection: ThriftConnection) -> None:
+        """Ask that no new request come; the other side closes."""
+        connection.transport.write(thrift.encode_leaving())
+
+
+def _value(value: float | None) -> dict[str, str]:
+    return {} if value is None else {"v": f"{value:g}"}
+
+
+def _encode(seqid: int, answer: Answer, pairs: dict[str, str]) -> bytes:
+    if isinstance(answer, Served):
+        return thrift.encode_answer("handle", seqid, answer.result, pairs, good=True)
+    if isinstance(answer, Refused):
+        if answer.retry_after_us > 0:
+            pairs["w"] = str(-(-answer.retry_after_us // 1000))
+        if answer.last:
+            pairs["l"] = "1"
+        return thrift.encode_shed(seqid, pairs)
+    return thrift.encode_fault(seqid, pairs)
