Add the SCGI front with DNS-SD records, and the scenario tests of the whole scorer

Found by the scenarios: (1) at the end of the grace a drain closed SCGI connections with a request open (ScgiFront.leave closed whatever it was given); (2) after the exit the module's timers stayed due, so the loop spun (next_due in reducer.py); (3) the ledger's idle timer ran on another reactor than the rest (TimeoutMixin.callLater in ledger_pool.py). Each has its scenario. Ruled out: the reducer's own part in (1): it asks for leaving only, and Thrift connections stayed open.

--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import json
+import re
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -81,8 +82,12 @@
     held = told.get("held_kb", 40.0)
     if not isinstance(held, (int, float)) or not 0 < held < 2000:
         raise ConfigError("scgi.toml: held_kb: must be a number above 0 and under 2,000")
-    return ScgiConfig(_loopback(told, "listen"), dns, str(told.get("domain", ScgiConfig.domain)).strip("."),
-                      str(told.get("instance", name)), float(held))
+    domain, instance = str(told.get("domain", ScgiConfig.domain)), str(told.get("instance", name))
+    if not re.fullmatch(r"[a-z0-9-]{1,63}(\.[a-z0-9-]{1,63}){0,5}", domain):
+        raise ConfigError("scgi.toml: domain: not a domain name")
+    if not re.fullmatch(r"[A-Za-z0-9 _-]{1,63}", instance):
+        raise ConfigError("scgi.toml: instance: not one label")
+    return ScgiConfig(_loopback(told, "listen"), dns, domain, instance, float(held))
 
 
 def _loopback(told: dict[str, Any], name: str) -> Address:
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -12,7 +12,7 @@
 
 from sagetrestle.net.program import log, signals
 from sagetrestle.net.program.clock import Clock
-from sagetrestle.net.program.config import Config, ConfigError, read_config
+from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig, read_config
 from sagetrestle.net.program.loop import TurnLoop
 from sagetrestle.net.protocol import kernel as kernel_wire
 from sagetrestle.net.routing import effects as fx
@@ -20,9 +20,12 @@
 from sagetrestle.net.routing.state import new_state
 from sagetrestle.net.routing.values import ConnectionId
 from sagetrestle.net.transport.connection import Front, FrontConnection
+from sagetrestle.net.transport.dnssd import DnsResponder, ServiceAuthority
+from sagetrestle.net.transport.ends import Post
 from sagetrestle.net.transport.kernel_link import KernelLink, encode
 from sagetrestle.net.transport.ledger_pool import LedgerPool
 from sagetrestle.net.transport.roster import Roster
+from sagetrestle.net.transport.scgi_front import ScgiFront
 from sagetrestle.net.transport.thrift_front import ThriftFront
 
 BACKLOG = 512
@@ -33,9 +36,8 @@
 class Scorer:
     """One scorer: the fronts, the clients, and the loop between them."""
 
-    def __init__(self, reactor: Any, config: Config, logger: Any) -> None:
+    def __init__(self, reactor: Any, config: Config, logger: Any, clock: Clock) -> None:
         self.reactor, self.config = reactor, config
-        clock = Clock()
         self.loop = TurnLoop(reactor, clock, new_state(config.plan), self.perform, self._failed)
         self._log = log.BoundedLog(logger.info, lambda: self.loop.now)
         post = self.loop.post
@@ -44,6 +46,13 @@
         self.kernel = KernelLink(reactor, config.kernel, post)
         self.ledger = LedgerPool(reactor, config.ledger, post)
         self.roster = Roster(config.name, config.roster)
+        self.dns: DnsResponder | None = None
+        if config.scgi:
+            self._add_scgi(config.scgi, post)
+
+    def _add_scgi(self, scgi: ScgiConfig, post: Post) -> None:
+        settings = self.config.plan.settings
+        self.fronts["scgi"] = ScgiFront(self.reactor, settings, post, scgi.held_kb, self.config.plan.seed)
 
     def start(self) -> None:
         """Begin with the first turn."""
@@ -87,6 +96,8 @@
             case fx.StopListening():
                 for front in self.fronts.values():
                     front.stop_listening()
+            case fx.Announce(on):
+                self._announce(on)
             case fx.Exit():
                 self._exit()
 
@@ -99,6 +110,23 @@
         host, port = self.config.listen
         self.roster.listen(self.reactor, host)
         self.thrift.port = self.reactor.listenTCP(port, self.thrift, backlog=BACKLOG, interface=host)
+        if self.config.scgi:
+            self._listen_scgi(self.config.scgi)
+
+    def _listen_scgi(self, scgi: ScgiConfig) -> None:
+        """Open the second front, and the responder that names the port it has."""
+        host, port = scgi.listen
+        front = self.fronts["scgi"]
+        front.port = self.reactor.listenTCP(port, front, backlog=BACKLOG, interface=host)
+        if scgi.dns_listen:
+            address = (host, front.port.getHost().port)
+            names = [cls.name for cls in self.config.plan.settings.classes]
+            self.dns = DnsResponder(ServiceAuthority(scgi.domain, scgi.instance, address, names))
+            self.dns.listen(self.reactor, scgi.dns_listen)
+
+    def _announce(self, on: bool) -> None:
+        if self.dns:
+            self.dns.authority.publish(on)
 
     def _exit(self) -> None:
         for front in self.fronts.values():
@@ -123,7 +151,7 @@
         return 2
     from twisted.internet import reactor
     reactor.seconds = time.monotonic  # type: ignore[attr-defined]  # timers must not follow steps of Unix time
-    scorer = Scorer(reactor, config, logger)
+    scorer = Scorer(reactor, config, logger, Clock())
     scorer.start()
     gc.freeze()
     reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
--- a/sagetrestle/net/protocol/scgi.py
+++ b/sagetrestle/net/protocol/scgi.py
@@ -31,10 +31,11 @@
         self._buffer = bytearray()
         self._headers: dict[str, str] | None = None
         self._size = 0
-        self.complete = False
+        self.complete, self.untouched = False, True
 
     def feed(self, data: bytes) -> ScgiRequest | None:
         """Take more bytes and return the request once it is whole; nothing may follow it."""
+        self.untouched = False
         self._buffer += data
         if self.complete:
             raise ProtocolError("bytes after the request")
--- a/sagetrestle/net/routing/reducer.py
+++ b/sagetrestle/net/routing/reducer.py
@@ -53,7 +53,12 @@
 
 
 def next_due(state: State) -> int | None:
-    """Return when the next turn is due though nothing comes in."""
+    """Return when the next turn is due though nothing comes in; after the end none is.
+
+    The module's timers outlive the exit: left in, the loop would spin on them until the process is gone.
+    """
+    if state.exited:
+        return None
     times = [*state.chores.values(), *state.calls.values()]
     if state.wakes:
         times.append(state.wakes[0][0])
--- a/sagetrestle/net/routing/values.py
+++ b/sagetrestle/net/routing/values.py
@@ -24,7 +24,10 @@
 
 
 class Request(NamedTuple):
-    """What any front makes of a request; times are microseconds on the program's clock."""
+    """What any front makes of a request; times are microseconds on the program's clock.
+
+    ``arrived`` is 0 where the wire does not tell it: then it is the turn in which the request was read.
+    """
 
     ticket: Ticket
     id: str
--- /dev/null
+++ b/sagetrestle/net/transport/dnssd.py
@@ -0,0 +1,83 @@
+"""DNS-SD (RFC 6763): the SCGI front's service as PTR, SRV and TXT records, by unicast DNS on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from twisted.internet.interfaces import IListeningPort
+from twisted.names import common, dns
+from twisted.names.authority import FileAuthority
+from twisted.names.server import DNSServerFactory
+
+SERVICE = "_scgi._tcp"
+TTL_S = 10  # unicast DNS has no goodbye: a withdrawn service is remembered so long at the most
+
+
+class ServiceAuthority(FileAuthority):
+    """Knows the records of one service instance, and none of them while it is withdrawn."""
+
+    def __init__(self, domain: str, instance: str, address: tuple[str, int], classes: list[str]) -> None:
+        common.ResolverBase.__init__(self)
+        self._cache: dict[Any, Any] = {}
+        self.soa = (domain.encode(), dns.Record_SOA(
+            f"ns.{domain}", f"hostmaster.{domain}", serial=1, refresh=TTL_S, retry=TTL_S, expire=TTL_S,
+            minimum=TTL_S, ttl=TTL_S))
+        self._service = _service_records(domain, instance, address, classes)
+        self.records: dict[bytes, list[Any]] = {}
+        self.publish(False)
+
+    def publish(self, on: bool) -> None:
+        """Announce the service or withdraw it; the zone itself stays known."""
+        self.records = {self.soa[0].lower(): [self.soa[1]], **(self._service if on else {})}
+
+    def _additionalRecords(self, answer: list[Any], authority: list[Any], ttl: int) -> Iterator[Any]:
+        """Add what a client asks for next (RFC 6763, section 12): SRV and TXT to PTR, the address to SRV."""
+        for record in answer:
+            if record.type == dns.PTR:
+                found = list(self._named(record.payload.name.name, dns.SRV, dns.TXT))
+                yield from found
+                yield from self._additionalRecords([one for one in found if one.type == dns.SRV], [], ttl)
+            elif record.type == dns.SRV:
+                yield from self._named(record.payload.target.name, dns.A, dns.AAAA)
+
+    def _named(self, name: bytes, *types: int) -> Iterator[Any]:
+        for record in self.records.get(name.lower(), ()):
+            if record.TYPE in types:
+                yield dns.RRHeader(name, record.TYPE, dns.IN, record.ttl, record, auth=True)
+
+
+def _service_records(domain: str, instance: str, address: tuple[str, int],
+                     classes: list[str]) -> dict[bytes, list[Any]]:
+    host, port = address
+    kind, target = f"{SERVICE}.{domain}", f"{instance}.{domain}"
+    name = f"{instance}.{kind}"
+    location = dns.Record_AAAA(host, ttl=TTL_S) if ":" in host else dns.Record_A(host, ttl=TTL_S)
+    found = {
+        f"_services._dns-sd._udp.{domain}": [dns.Record_PTR(kind, ttl=TTL_S)],
+        kind: [dns.Record_PTR(name, ttl=TTL_S)],
+        name: [dns.Record_SRV(0, 0, port, target, ttl=TTL_S),
+               dns.Record_TXT(b"txtvers=1", f"classes={','.join(classes)}".encode()[:255], ttl=TTL_S)],
+        target: [location],
+    }
+    return {key.lower().encode(): records for key, records in found.items()}
+
+
+class DnsResponder:
+    """Answers questions on one loopback address, over UDP and TCP."""
+
+    def __init__(self, authority: ServiceAuthority) -> None:
+        self.authority = authority
+        self.ports: list[IListeningPort] = []
+
+    def listen(self, reactor: Any, address: tuple[str, int]) -> int:
+        """Take the sockets and return their port."""
+        factory = DNSServerFactory(authorities=[self.authority])
+        factory.noisy = False
+        protocol = dns.DNSDatagramProtocol(factory)
+        protocol.noisy = False
+        host, port = address
+        tcp = reactor.listenTCP(port, factory, interface=host)
+        udp = reactor.listenUDP(tcp.getHost().port, protocol, interface=host)
+        self.ports = [tcp, udp]
+        return tcp.getHost().port
--- a/sagetrestle/net/transport/ledger_pool.py
+++ b/sagetrestle/net/transport/ledger_pool.py
@@ -32,6 +32,10 @@
         self.abandoned: set[str] = set()
         self.up = False
 
+    def callLater(self, seconds: float, act: Any) -> Any:
+        """Set the idle timer on the reactor that all else runs on."""
+        return self._pool.reactor.callLater(seconds, act)
+
     def connectionMade(self) -> None:  # noqa: D102
         self.transport.setTcpNoDelay(True)
         self.up = True
@@ -88,7 +92,7 @@
 
     def __init__(self, reactor: Any, address: tuple[str, int], post: Post) -> None:
         self._endpoint = TCP4ClientEndpoint(reactor, *address, timeout=CONNECT_TIMEOUT_S)
-        self.post_input = post
+        self.reactor, self.post_input = reactor, post
         self._connections: list[LedgerConnection] = []
 
     def call(self, id: str, timeout_ms: int, body: bytes) -> None:
--- /dev/null
+++ b/sagetrestle/net/transport/scgi_front.py
@@ -0,0 +1,161 @@
+"""The front that speaks SCGI with web servers and old portals: one request a connection."""
+
+from __future__ import annotations
+
+import random
+import socket
+from typing import Any
+
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import connectionDone
+from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from sagetrestle.interface import Settings
+from sagetrestle.net.protocol import scgi
+from sagetrestle.net.protocol.errors import ProtocolError
+from sagetrestle.net.routing.inputs import RequestRead, RequestRejected
+from sagetrestle.net.routing.values import Answer, Request, Ticket
+from sagetrestle.net.transport.connection import Front, FrontConnection
+from sagetrestle.net.transport.ends import Post
+from sagetrestle.net.transport.scgi_mapping import (
+    DEFAULT_RANK, Rejected, Response, fault_response, read_call, to_response,
+)
+
+MOST_CONNECTIONS = 200
+LINGER_S = 1.0  # how long input is still read and dropped after a response that did not wait for it
+PROBE_EVERY_S = 0.1
+TCP_CLOSED = 7  # the state in Linux's TCP_INFO after the other side reset the connection
+
+
+@implementer(IHalfCloseableProtocol)
+class ScgiConnection(FrontConnection):
+    """One request and its response."""
+
+    factory: ScgiFront
+
+    def connectionMade(self) -> None:  # noqa: D102
+        self._request = scgi.RequestDecoder()
+        self._responded = self._started = False
+        self._probe: LoopingCall | None = None
+        super().connectionMade()
+
+    def read(self, data: bytes) -> None:  # noqa: D102
+        if self._responded:
+            return
+        request = self._request.feed(data)
+        if request is not None:
+            self._take(request)
+
+    def untouched(self) -> bool:
+        """Tell whether not a byte was read yet."""
+        return self._request.untouched
+
+    def _take(self, request: scgi.ScgiRequest) -> None:
+        try:
+            self.factory.take(self.name, request)
+        except Rejected as error:
+            self.factory.post(RequestRejected(self.name, str(error)))
+            self.respond(error.response)
+
+    def broken(self, fault: ProtocolError) -> None:
+        """Say what is wrong before the end, and let the other side finish sending.
+
+        With unread input a close is a reset, which can overtake the response.
+        """
+        self.factory.post(RequestRejected(self.name, str(fault)))
+        if self._request.complete:  # bytes after the request: it has its answer to come, so only cut off
+            super().broken(fault)
+            return
+        self._write(fault_response(fault))
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self.factory.reactor.callLater(LINGER_S, self._abort)
+
+    def _abort(self) -> None:
+        if self.name in self.factory.connections:
+            self.transport.abortConnection()
+
+    def respond(self, response: Response) -> None:
+        """Write the response and close."""
+        if not self._responded:
+            self._write(response)
+            self.close()
+
+    def _write(self, response: Response) -> None:
+        self._responded = True
+        data = scgi.encode_response(*response)
+        self.transport.write(data[len(scgi.RESPONSE_START):] if self._started else data)
+
+    def readConnectionLost(self) -> None:
+        """Tell a half-close after the request from a close: both look the same until something is written.
+
+        Every response starts with the same bytes, so these are written now: a caller that only half-closed
+        gets the start of its response early, one that closed resets the connection, and is gone.
+        """
+        if self._responded or not self._request.complete:
+            if not self._responded:
+                self.factory.post(RequestRejected(self.name, "the input ended within the request"))
+                self._write(fault_response(ProtocolError("the input ended within the request")))
+            self.close()
+        elif self._probe is None:
+            self._started = True
+            self.transport.unregisterProducer()
+            self.transport.write(scgi.RESPONSE_START)
+            self._probe = LoopingCall(self._look)
+            self._probe.clock = self.factory.reactor
+            self._probe.start(PROBE_EVERY_S, now=False)
+
+    def writeConnectionLost(self) -> None:
+        """Our own half-close after a fault; the other side's end follows."""
+
+    def _look(self) -> None:
+        info = self.transport.getHandle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        if info[0] == TCP_CLOSED:
+            self._stop_probe()
+            self.transport.abortConnection()
+
+    def _stop_probe(self) -> None:
+        if self._probe is not None and self._probe.running:
+            self._probe.stop()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
+        self._stop_probe()
+        super().connectionLost(reason)
+
+
+class ScgiFront(Front[ScgiConnection]):
+    """Makes neutral requests of SCGI's, and CGI responses of the core's answers."""
+
+    def __init__(self, reactor: Any, settings: Settings, post: Post, held_kb: float, seed: int) -> None:
+        super().__init__("scgi", ScgiConnection, post, MOST_CONNECTIONS)
+        self.reactor = reactor
+        self._settings, self._held_kb = settings, held_kb
+        self._ids = random.Random(seed)
+
+    def take(self, connection: Any, request: scgi.ScgiRequest) -> None:
+        """Hand a request to the core."""
+        call = read_call(request, self._settings)
+        self.post(RequestRead(Request(
+            Ticket(connection, 1), f"{self._ids.getrandbits(64):016x}", call.cls, 0, call.caller,
+            request.body, self._held_kb, call.hint_us, DEFAULT_RANK, call.retry, call.key,
+        )))
+
+    def send(self, ticket: Ticket, answer: Answer, value: float | None) -> None:
+        """Write a final answer."""
+        connection = self.connections.get(ticket.connection)
+        if connection:
+            connection.respond(to_response(answer, value))
+
+    def send_health(self, ticket: Ticket, good: bool, value: float | None) -> None:
+        """SCGI has no health checks; its service records follow the health instead."""
+        raise NotImplementedError
+
+    def leave(self, connection: ScgiConnection) -> None:
+        """Close a connection on which nothing was read; SCGI has no word for leaving.
+
+        A request that is being read or run keeps its connection, as its one answer belongs there.
+        """
+        if connection.untouched():
+            connection.close()
--- /dev/null
+++ b/sagetrestle/net/transport/scgi_mapping.py
@@ -0,0 +1,119 @@
+"""What SCGI's words mean in the core's: requests from headers, CGI responses from answers.
+
+docs/scgi.md has the same as a table for those who write clients.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+import zlib
+from typing import NamedTuple
+
+from sagetrestle.interface import Effect, Settings
+from sagetrestle.net.protocol.errors import Fault, ProtocolError
+from sagetrestle.net.protocol.scgi import ScgiRequest
+from sagetrestle.net.routing.values import Answer, FailCause, Refused, Served
+
+DEFAULT_CALLER = "anonymous"
+DEFAULT_RANK = 0.5
+KEY = r"[!-~]{1,128}"
+HINT = r"[0-9]{1,7}(\.[0-9]{1,6})?"
+CALLER = r"[!-~]{1,128}"
+
+
+class Response(NamedTuple):
+    """A CGI response."""
+
+    status: str
+    headers: dict[str, str]
+    body: bytes = b""
+
+
+class Rejected(Exception):
+    """A request that is answered here, as the core has no word for it."""
+
+    def __init__(self, status: str, why: str, **headers: str) -> None:
+        super().__init__(why)
+        self.response = text_response(status, why, headers)
+
+
+class Call(NamedTuple):
+    """What the headers say."""
+
+    cls: int
+    key: str | None
+    retry: bool
+    hint_us: int
+    caller: int
+
+
+def read_call(request: ScgiRequest, settings: Settings) -> Call:
+    """Read a request's headers; which are looked at, and what stands for those that are absent."""
+    headers = request.headers
+    cls = _class(headers, settings)
+    if headers.get("REQUEST_METHOD") != "POST":
+        raise Rejected("405 Method Not Allowed", "only POST is taken", Allow="POST")
+    key = _matching(headers, "HTTP_IDEMPOTENCY_KEY", KEY)
+    if settings.classes[cls].effect is Effect.KEYED and key is None:
+        raise Rejected("400 Bad Request", "Idempotency-Key is missing")
+    retry = _matching(headers, "HTTP_X_RETRY", "[01]") == "1"
+    hint = float(_matching(headers, "HTTP_X_WORK_HINT_MS", HINT) or 0)
+    caller = _matching(headers, "HTTP_X_CALLER", CALLER) or headers.get("REMOTE_ADDR") or DEFAULT_CALLER
+    return Call(cls, key, retry, int(hint * 1000), caller_number(caller))
+
+
+def _class(headers: dict[str, str], settings: Settings) -> int:
+    """Return the class that the path names; a server that sets no PATH_INFO has the path in the URI."""
+    if not headers.get("REQUEST_METHOD"):
+        raise Rejected("400 Bad Request", "REQUEST_METHOD is missing")
+    path = headers.get("PATH_INFO") or headers.get("REQUEST_URI", "").partition("?")[0]
+    if not path:
+        raise Rejected("400 Bad Request", "PATH_INFO is missing")
+    for at, cls in enumerate(settings.classes):
+        if path == f"/{cls.name}":
+            return at
+    raise Rejected("404 Not Found", "no such class")
+
+
+def _matching(headers: dict[str, str], name: str, pattern: str) -> str | None:
+    value = headers.get(name)
+    if value is not None and not re.fullmatch(pattern, value):
+        raise Rejected("400 Bad Request", f"{name} is not of its form")
+    return value
+
+
+def caller_number(name: str) -> int:
+    """Return a caller's number; it is below 0, as front ends' are 0 or more."""
+    return -1 - zlib.crc32(name.encode())
+
+
+def to_response(answer: Answer, value: float | None) -> Response:
+    """Return the response for a final answer."""
+    headers = {} if value is None else {"X-Free-Value": f"{value:g}"}
+    if isinstance(answer, Served):
+        return Response("200 OK", headers, answer.result)
+    if isinstance(answer, Refused):
+        headers["Retry-After"] = str(max(1, math.ceil(answer.retry_after_us / 1e6)))
+        if answer.last:
+            headers["X-Retry-Elsewhere"] = "no"
+        return text_response("503 Service Unavailable", "turned away; this try never ran", headers)
+    return text_response(*FAILURES[answer.cause], headers)
+
+
+FAILURES = {
+    FailCause.RUN: ("502 Bad Gateway", "failed; it may have run"),
+    FailCause.OVERDUE: ("504 Gateway Timeout", "not finished in time; it may have run"),
+    FailCause.CONFLICT: ("409 Conflict", "this key came before with another body"),
+}
+FAULTS = {Fault.MALFORMED: "400 Bad Request", Fault.TOO_LARGE: "413 Content Too Large"}
+
+
+def fault_response(fault: ProtocolError) -> Response:
+    """Return the response for bytes that are no request."""
+    return text_response(FAULTS[fault.fault], str(fault), {})
+
+
+def text_response(status: str, text: str, headers: dict[str, str]) -> Response:
+    """Return a response with a line of text for people."""
+    return Response(status, {"Content-Type": "text/plain; charset=utf-8", **headers}, f"{text}\n".encode())
--- /dev/null
+++ b/tests/net/scenario.py
@@ -0,0 +1,402 @@
+"""The scenario language of the network tests: send, expect, close and wait, on a fake clock.
+
+A scenario is text, one step a line: ``ACTOR VERB ARGUMENTS`` or ``wait MILLISECONDS``. The actors are the
+peers of one whole scorer, whose sockets are in memory: ``thrift`` (front ends; ``thrift2`` is another one),
+``scgi`` (a connection for each request), ``kernel``, ``ledger``, and ``platform`` (``send TERM``). Requests
+have short names; `key=K`, `body=B`, `retry=1`, `age=MS` and the like give the rest.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import unittest
+from types import SimpleNamespace
+from typing import Any
+
+from twisted.internet import error
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from sagetrestle.net.program import main as program
+from sagetrestle.net.program.clock import Clock
+from sagetrestle.net.program.config import Config, ScgiConfig
+from sagetrestle.net.protocol import scgi, thrift
+from sagetrestle.net.protocol.thrift import Kind, Type
+from sagetrestle.net.routing.inputs import Started, StopAsked
+from sagetrestle.net.routing.values import Plan, Ticket
+from sagetrestle.wirehost import read_settings
+
+UNIX_MS = 1_764_576_000_000  # the Unix time at which every scenario starts
+WINDOW_MS = 27_783
+EXTRA = {"cores": 2, "memory_kb": 30_000.0, "below": "shared", "calls_out": 8.0,
+         "class_calls": [True, False, True],
+         "gauges": ["core_use", "on_cores", "heap_share", "links"], "halt": "suspend", "key_kb": 20.0,
+         "keepalive_max": 30_000_000, "lingers": 200_000, "run_factor": 4.0, "senders": 3, "say": "window"}
+PARAMS = {
+    "classes": [
+        {"name": "report-view", "aim": 1_900_000, "hard_limit": 5_600_000, "effect": "safe", "worth": 1.0},
+        {"name": "quick-check", "aim": 930_000, "hard_limit": 2_800_000, "effect": "safe", "worth": 1.0},
+        {"name": "paid-check", "aim": 3_500_000, "hard_limit": 9_300_000, "effect": "keyed", "worth": 4.0,
+         "late_share": 0.2, "window": WINDOW_MS * 1000},
+    ],
+    "extra": EXTRA, "servers": 3, "tick": 5_000,
+    "limits": {"retry_after": True, "max_retry_after": 1_000_000}, "callers": {"marks_retry": True},
+    "rules": {"cold_share": 0.3, "stop_sending_within": 2_000_000, "tip_after": 2_000_000,
+              "tip_multiple": 5.0, "warm_within": 18_000_000},
+}
+
+
+def plan(stop_ms: int = 3_200) -> Plan:
+    """Return the plan of all network tests."""
+    return Plan(read_settings(PARAMS), stop_ms * 1000, tuple(EXTRA["gauges"]), 7)
+
+
+def config(scgi_on: ScgiConfig | None = None, **rest: Any) -> Config:
+    """Return a configuration on loopback."""
+    here = ("127.0.0.1", 0)
+    given = {"name": "n1", "listen": here, "kernel": here, "roster": here, "ledger": here, "plan": plan()}
+    return Config(**(given | rest), scgi=scgi_on)
+
+
+class Wire(StringTransport):
+    """A socket in memory that ends in the ways that sockets do."""
+
+    def __init__(self, protocol: Any) -> None:
+        super().__init__()
+        self.protocol, self.connected = protocol, True
+        protocol.makeConnection(self)
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        """Do nothing."""
+
+    def end(self, reason: type[Exception] = error.ConnectionDone) -> None:
+        """End the connection, once."""
+        if self.connected:
+            self.connected = False
+            self.protocol.connectionLost(Failure(reason()))
+
+    loseConnection = loseWriteConnection = end
+
+    def abortConnection(self) -> None:
+        """End it from this side at once."""
+        self.end(error.ConnectionAborted)
+
+    def take(self) -> bytes:
+        """Return what was written since the last look."""
+        data = self.value()
+        self.clear()
+        return data
+
+
+def call_id(name: str) -> str:
+    """Return the id that a request's name stands for."""
+    return name.encode().hex().rjust(16, "0")
+
+
+def options(words: list[str]) -> dict[str, str]:
+    """Read ``name=value`` words."""
+    return dict(word.split("=", 1) for word in words if "=" in word)
+
+
+class ThriftPeer:
+    """A front end with one connection."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.numbers, self.answers = world, {}, {}
+        self.frames = thrift.FrameDecoder(1 << 20)
+        self.wire = world.connect("thrift")
+
+    def send(self, name: str, *words: str) -> None:
+        """Send a request, ``withdraw NAME``, ``status``, or ``raw HEX``."""
+        if name == "withdraw":
+            number = thrift.field(Type.I32, 1, self.numbers[words[0]].to_bytes(4, "big"))
+            data = thrift.encode_message("withdraw", Kind.ONEWAY, self._number("withdraw"), number)
+        elif name == "raw":
+            data = bytes.fromhex(words[0])
+        elif name == "status":
+            data = thrift.encode_message("status", Kind.CALL, self._number(name),
+                                         thrift.field(Type.BOOL, 1, b"\0"))
+        else:
+            data = self._request(name, *words)
+        self.wire.protocol.dataReceived(data)
+
+    def _number(self, name: str) -> int:
+        self.numbers[name] = len(self.numbers) + 1
+        return self.numbers[name]
+
+    def _request(self, name: str, cls: str, *words: str) -> bytes:
+        given = options(list(words))
+        stamp = UNIX_MS + self.world.now_ms() - int(given.get("age", 0))
+        pairs = {"c": cls, "i": call_id(name), "s": str(stamp), "f": "1", "m": "24.5", "p": "0.5",
+                 "h": given.get("hint", "40")}
+        pairs |= {short: given[long] for short, long in (("k", "key"), ("r", "retry"), ("o", "about"))
+                  if long in given}
+        body = given.get("body", name).encode()
+        fields = thrift.field(Type.MAP, 1, thrift.text_map(pairs))
+        fields += thrift.field(Type.STRING, 2, thrift.string(body))
+        return thrift.encode_message(given.get("method", "handle"), Kind.CALL, self._number(name), fields)
+
+    def expect(self, name: str, *words: str) -> None:
+        """Expect an answer to a request, ``leaving``, ``nothing NAME`` or ``closed``."""
+        self._read()
+        test = self.world.test
+        if name == "closed":
+            test.assertFalse(self.wire.connected)
+        elif name == "leaving":
+            test.assertIn("leaving", self.answers)
+        elif name == "nothing":
+            test.assertNotIn(self.numbers[words[0]], self.answers)
+        else:
+            test.assertIn(self.numbers[name], self.answers, f"{name}: no answer; {self.world.lines}")
+            test.assertEqual(" ".join(words), self.answers.pop(self.numbers[name]))
+
+    def _read(self) -> None:
+        for frame in self.frames.feed(self.wire.take()):
+            message = thrift.decode_message(frame)
+            number = message.name if message.kind == Kind.ONEWAY else message.seqid
+            self.world.test.assertNotIn(number, self.answers, "answered twice")
+            self.answers[number] = self._words(message)
+
+    @staticmethod
+    def _words(message: thrift.Message) -> str:
+        if message.kind != Kind.REPLY:
+            return "exception" if message.kind == Kind.EXCEPTION else "oneway"
+        ((number, (_, value)),) = message.fields.items()
+        if message.name == "status":
+            return "good" if value[3][1] else "bad"
+        if number:
+            return ("", "refused", "failed")[number]
+        return f"served {value[1][1].decode()}"
+
+    def close(self, *_: str) -> None:
+        """End the connection."""
+        self.wire.end()
+
+
+class ScgiPeer:
+    """Old clients, with a connection for each request."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.wires = world, {}
+
+    def send(self, name: str, cls: str, *words: str) -> None:
+        """Send a request; ``raw=TEXT`` sends other bytes, ``end=1`` half-closes after them."""
+        given = options(list(words))
+        headers = {"REQUEST_METHOD": given.get("method", "POST"), "PATH_INFO": f"/{cls}",
+                   "REMOTE_ADDR": "127.0.0.9"}
+        headers |= {long: given[short] for short, long in (
+            ("key", "HTTP_IDEMPOTENCY_KEY"), ("retry", "HTTP_X_RETRY"), ("hint", "HTTP_X_WORK_HINT_MS"),
+            ("caller", "HTTP_X_CALLER")) if short in given}
+        wire = self.wires.setdefault(name, self.world.connect("scgi"))
+        data = scgi.encode_request(headers, given.get("body", name).encode())
+        wire.protocol.dataReceived(given["raw"].encode() if "raw" in given else data)
+        self.world.settle()
+        id = self.world.scorer.loop._state.tickets.get(Ticket(getattr(wire.protocol, "name", None), 1))
+        self.world.names[id] = name
+
+    def expect(self, name: str, status: str, *words: str) -> None:
+        """Expect a status and words that stand in the response, or ``nothing``."""
+        data = self.wires[name].take().decode()
+        if status == "nothing":
+            self.world.test.assertEqual("", data)
+            return
+        self.world.test.assertTrue(data.startswith(f"Status: {status} "), f"{data!r} {self.world.lines}")
+        for word in words:
+            self.world.test.assertIn(word.replace("_", " "), data)
+
+    def close(self, name: str, *_: str) -> None:
+        """Close a request's connection."""
+        self.wires[name].end(error.ConnectionLost)
+
+
+class KernelPeer:
+    """The kernel; it answers ``OPEN`` and the gauges by itself, the rest is the scenario's."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.serial, self.commands, self.opened = world, 0, [], []
+        self.boots = True
+        self.wire = world.accept(program.__name__, 0)
+
+    def pump(self) -> None:
+        """Read the commands that came."""
+        if not self.wire.connected:
+            return
+        for line in self.wire.take().splitlines():
+            got = json.loads(line)
+            if got["msg"] == "OPEN":
+                self.opened.append(got["serial"])
+                if self.boots:
+                    self.tell(msg="BOOTED", how="seasoned", duration=3_600_000)
+            elif got["msg"] == "SYSINFO":
+                self.tell(msg="INFO", cookie=got["cookie"], stats=[0.5, 1, 0.1, 3])
+            else:
+                self.commands.append(got)
+
+    def tell(self, **notice: Any) -> None:
+        """Write a notice."""
+        self.wire.protocol.dataReceived(json.dumps(notice).encode() + b"\n")
+
+    def send(self, what: str, name: str = "", text: str = "") -> None:
+        """Send an end of a run, ``IOREQ`` or ``EINVAL``; the text ``again`` repeats a number."""
+        call = {value: key for key, value in self.world.names.items()}.get(name, call_id(name))
+        if what == "EINVAL":
+            self.tell(msg="EINVAL", how=text, call=call)
+            return
+        if what == "raw":
+            self.wire.protocol.dataReceived(b"{nonsense\n")
+            return
+        self.serial += text != "again"
+        blob = base64.b64encode(text.encode()).decode()
+        rest = {"msg": "IOREQ"} if what == "IOREQ" else {"msg": "REAP", "how": what, "duration": 12}
+        self.tell(serial=self.serial, call=call, blob=blob, **rest)
+
+    def expect(self, what: str, name: str = "", text: str | None = None) -> None:
+        """Expect a command, in order; ``nothing``; or ``OPEN SERIAL``."""
+        test = self.world.test
+        if what == "nothing":
+            test.assertEqual([], self.commands)
+            return
+        if what == "OPEN":
+            test.assertEqual(int(name), self.opened[-1])
+            return
+        test.assertTrue(self.commands, f"no {what} {name}; {self.world.lines}")
+        got = self.commands.pop(0)
+        known = self.world.names.get(got["call"])
+        known = known or bytes.fromhex(got["call"]).lstrip(b"\0").decode()
+        test.assertEqual((what, name), (got["msg"], known))
+        if text is not None:
+            test.assertEqual(text, base64.b64decode(got["blob"]).decode())
+
+    def close(self, *_: str) -> None:
+        """Break the link and take the next one, as soon as it is tried."""
+        self.wire.end(error.ConnectionLost)
+        self.world.wait(30)
+        self.wire = self.world.accept("kernel", -1)
+
+
+class LedgerPeer:
+    """The ledger, with one connection at a time."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.text = world, ""
+        self.wire: Wire | None = None
+
+    def expect(self, what: str, name: str = "", text: str = "") -> None:
+        """Expect ``post NAME BODY``, ``abandon NAME`` or ``closed``."""
+        if what == "closed":
+            self.world.test.assertFalse(self.wire and self.wire.connected)
+            return
+        if self.wire is None or not self.wire.connected:
+            self.wire = self.world.accept("ledger", -1)
+        got = self.wire.take().decode()
+        line = f"post {call_id(name)} " if what == "post" else f"abandon {call_id(name)}\r\n"
+        self.world.test.assertTrue(got.startswith(line), got)
+        self.world.test.assertTrue(what != "post" or got.endswith(f" {len(text)}\r\n{text}\r\n"), got)
+
+    def send(self, verdict: str, name: str, text: str = "") -> None:
+        """Answer a call."""
+        rest = f" {len(text)}\r\n{text}\r\n" if verdict == "posted" else "\r\n"
+        self.wire.protocol.dataReceived(f"{call_id(name)} {verdict}{rest}".encode())
+
+    def close(self, how: str = "") -> None:
+        """Break the connection, or refuse the one that is being tried."""
+        if how != "refused":
+            self.wire.end(error.ConnectionLost)
+            return
+        factory = self.world.reactor.tcpClients[-1][2]
+        factory.clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
+
+
+class Platform:
+    """What starts and stops the scorer."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
+    def send(self, what: str) -> None:
+        """Send the notice to leave."""
+        self.world.test.assertEqual("TERM", what)
+        self.world.scorer.loop.post(StopAsked())
+
+    def expect(self, what: str, *words: str) -> None:
+        """Expect ``exit``, ``running``, ``log WORDS``, or the last report ``on`` or ``off``."""
+        test, world = self.world.test, self.world
+        if what in ("on", "off"):
+            test.assertEqual(what == "on", world.reports[-1])
+        elif what == "log":
+            test.assertTrue(any(" ".join(words) in line for line in world.lines), world.lines)
+        else:
+            test.assertEqual(what == "exit", world.scorer.loop._state.exited)
+
+
+class World:
+    """One scorer in memory, and its peers."""
+
+    def __init__(self, test: unittest.TestCase, stop_ms: int = 3_200) -> None:
+        self.test, self.reactor = test, MemoryReactorClock()
+        self.lines: list[str] = []
+        self.reports: list[bool] = []
+        self.names: dict[str | None, str] = {}
+        read = lambda: int(self.reactor.seconds() * 1e9)  # noqa: E731
+        clock = Clock(lambda: read() + 1_000_000_000, lambda: read() + UNIX_MS * 1_000_000)
+        given = config(ScgiConfig(("127.0.0.1", 0)), plan=plan(stop_ms))
+        logger = SimpleNamespace(info=self.lines.append)
+        self.scorer = program.Scorer(self.reactor, given, logger, clock)
+        self.scorer.roster = SimpleNamespace(report=self.reports.append, listen=lambda *_: None)
+        self.scorer.loop.post(Started())
+        self.settle()
+        for front in self.scorer.fronts.values():
+            front.port = None  # the reactor's stand-in for a listening socket has nothing to accept
+        self.actors: dict[str, Any] = {"platform": Platform(self), "ledger": LedgerPeer(self)}
+        self.actors["kernel"] = self.kernel = KernelPeer(self)
+        self.actors |= {"thrift": ThriftPeer(self), "thrift2": ThriftPeer(self), "scgi": ScgiPeer(self)}
+        self.settle()
+
+    def connect(self, front: str) -> Wire:
+        """Connect to a front."""
+        return Wire(self.scorer.fronts[front].buildProtocol(None))
+
+    def accept(self, _: str, at: int) -> Wire:
+        """Take a connection that the scorer set up."""
+        return Wire(self.reactor.tcpClients[at][2].buildProtocol(None))
+
+    def now_ms(self) -> int:
+        """Return the time since the scenario's start."""
+        return round(self.reactor.seconds() * 1000)
+
+    def settle(self) -> None:
+        """Let all that is on its way arrive."""
+        for _ in range(6):
+            self.reactor.advance(0)
+            if hasattr(self, "kernel"):
+                self.kernel.pump()
+
+    def wait(self, ms: int) -> None:
+        """Let time pass, in steps under the module's shortest."""
+        while ms > 0:
+            step = min(ms, 5)
+            self.reactor.advance(step / 1000)
+            self.settle()
+            ms -= step
+
+    def play(self, text: str) -> None:
+        """Run a scenario."""
+        for line in text.strip().splitlines():
+            actor, *words = line.split() or ["#"]
+            if actor == "wait":
+                self.wait(int(words[0]))
+            elif not actor.startswith("#"):
+                getattr(self.actors[actor], words[0])(*words[1:])
+            self.settle()
+
+
+class ScenarioCase(unittest.TestCase):
+    """A test whose scenarios are played on a scorer of its own."""
+
+    stop_ms = 3_200
+
+    def setUp(self) -> None:
+        """Start the scorer."""
+        self.world = World(self, self.stop_ms)
+        self.play = self.world.play
--- /dev/null
+++ b/tests/net/test_scenarios.py
@@ -0,0 +1,451 @@
+"""The whole scorer in memory, by scenarios."""
+
+from tests.net.scenario import ScenarioCase
+
+FILL = """
+thrift send f1 report-view
+thrift2 send f2 report-view
+kernel expect SCHED f1
+kernel expect SCHED f2
+"""  # two cores, so the next request is held
+
+
+class ServingTest(ScenarioCase):
+    """Requests, calls and their ends over Thrift."""
+
+    def test_a_request_is_run_and_served_unchanged(self):
+        self.play("""
+            thrift send a quick-check body=payload
+            kernel expect SCHED a payload
+            kernel send done a result
+            thrift expect a served result
+            wait 100
+            thrift expect nothing a
+            kernel expect nothing""")
+
+    def test_a_crashed_run_fails(self):
+        self.play("""
+            thrift send a quick-check
+            kernel expect SCHED a
+            kernel send crashed a
+            thrift expect a failed""")
+
+    def test_a_call_is_made_and_its_reply_handed_on_unchanged(self):
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a
+            kernel send IOREQ a question
+            ledger expect post a question
+            ledger send posted a reply
+            kernel expect IODONE a reply
+            kernel send done a result
+            thrift expect a served result""")
+
+    def test_a_full_ledger_is_asked_again_and_an_error_of_a_charge_fails(self):
+        self.play("""
+            thrift send a paid-check key=K
+            kernel expect SCHED a
+            kernel send IOREQ a question
+            ledger expect post a question
+            ledger send queue_full a
+            wait 100
+            ledger expect post a question
+            ledger send error a
+            thrift expect a failed""")
+
+    def test_a_refused_connection_proves_nothing_ran_so_a_charge_is_posted_again(self):
+        self.play("""
+            thrift send a paid-check key=K
+            kernel expect SCHED a
+            kernel send IOREQ a question
+            ledger close refused
+            wait 100
+            ledger expect post a question
+            ledger send posted a reply
+            kernel expect IODONE a reply""")
+
+    def test_a_broken_connection_proves_nothing_so_a_charge_fails(self):
+        self.play("""
+            thrift send a paid-check key=K
+            kernel expect SCHED a
+            kernel send IOREQ a question
+            ledger expect post a question
+            ledger close
+            thrift expect a failed""")
+
+    def test_an_idle_ledger_connection_closes_before_the_ledger_does(self):
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a
+            kernel send IOREQ a question
+            ledger expect post a question
+            ledger send posted a reply
+            wait 6500
+            ledger expect closed""")
+
+    def test_a_withdrawn_call_is_abandoned_and_nothing_is_answered(self):
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a
+            kernel send IOREQ a question
+            ledger expect post a question
+            thrift send withdraw a
+            ledger expect abandon a
+            kernel send aborted a
+            wait 100
+            thrift expect nothing a""")
+        self.assertEqual({}, self.world.scorer.loop._state.entries)
+
+    def test_an_abort_that_outruns_the_withdrawal_leaves_nothing_behind(self):
+        """The kernel hears of a caller's leaving first; without a Gone the module waits for ever."""
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a
+            kernel send aborted a
+            thrift send withdraw a""")
+        self.assertEqual({}, self.world.scorer.loop._state.entries)
+        self.assertEqual({}, self.world.scorer.loop._state.policy.live)
+
+    def test_the_due_time_counts_from_s(self):
+        self.play(FILL + """
+            thrift send a quick-check age=850
+            wait 100
+            thrift expect a refused
+            thrift send b paid-check key=K age=9250
+            wait 60
+            thrift expect b refused""")
+
+    def test_a_running_charge_fails_at_its_due_time_and_is_stopped(self):
+        self.play("""
+            thrift send a paid-check key=K
+            kernel expect SCHED a
+            wait 9300
+            thrift expect a failed
+            kernel expect PREEMPT a
+            kernel send aborted a""")
+
+    def test_health_checks_and_bad_input_and_the_process_goes_on(self):
+        self.play("""
+            thrift send status
+            thrift expect status good
+            thrift send x quick-check method=sing
+            thrift expect x exception
+            thrift send y no-such-class
+            thrift expect y exception
+            thrift send raw 7fffffff00
+            thrift expect closed
+            platform expect log input over its bound
+            thrift2 send raw 0000000401020304
+            thrift2 expect closed
+            platform expect log malformed input
+            platform expect running""")
+
+    def test_idle_connections_are_told_leaving_before_the_close(self):
+        self.play("""
+            wait 30100
+            thrift expect leaving
+            wait 1300
+            thrift expect closed""")
+
+
+class PauseTest(ScenarioCase):
+    """Slices end in pauses, which the kernel confirms."""
+
+    def test_a_paused_run_is_resumed_and_served(self):
+        self.play(FILL + """
+            scgi send a report-view caller=other
+            wait 400
+            kernel expect PREEMPT f1
+            kernel expect PREEMPT f2
+            kernel send aborted f1
+            kernel expect SCHED a
+            kernel send done a result
+            scgi expect a 200 result
+            kernel expect RESCHED f1
+            kernel send done f1 first
+            thrift expect f1 served first""")
+
+
+class KernelLinkTest(ScenarioCase):
+    """The link breaks; runs go on and nothing runs twice."""
+
+    def test_a_new_link_tells_the_last_notice_and_drops_what_was_seen(self):
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a
+            kernel send IOREQ a question
+            ledger expect post a question
+            kernel close
+            kernel expect OPEN 1
+            kernel send IOREQ a again
+            ledger send posted a reply
+            kernel expect IODONE a reply
+            kernel send done a result
+            thrift expect a served result""")
+
+    def test_what_may_be_lost_is_written_again_and_its_rejection_harmless(self):
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a
+            kernel close
+            kernel expect SCHED a
+            kernel send EINVAL a SCHED
+            platform expect log kernel rejected SCHED
+            kernel send done a result
+            thrift expect a served result""")
+
+    def test_a_rejected_start_fails_its_request_and_is_logged(self):
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a
+            kernel send EINVAL a SCHED
+            thrift expect a failed
+            platform expect log kernel rejected SCHED""")
+
+    def test_a_link_that_can_not_be_read_is_set_up_anew(self):
+        self.play("""
+            kernel send raw
+            platform expect log kernel link lost
+            wait 50""")
+        self.assertGreaterEqual(len(self.world.reactor.tcpClients), 2)
+
+    def test_timers_do_not_wait_for_gauges(self):
+        self.world.kernel.boots = False
+        self.play("kernel close")
+        self.play("""
+            thrift send a quick-check age=700
+            wait 300
+            thrift expect a failed""")
+
+
+class KeyTest(ScenarioCase):
+    """One key over both fronts: at most one run."""
+
+    def test_thrift_then_scgi_while_held(self):
+        self.play(FILL + """
+            thrift send a paid-check key=K body=same
+            scgi send b paid-check key=K body=same
+            thrift expect a refused
+            kernel send done f1
+            kernel expect SCHED b same
+            kernel send done b result
+            scgi expect b 200 result
+            kernel expect nothing""")
+
+    def test_scgi_then_thrift_while_held(self):
+        self.play(FILL + """
+            scgi send a paid-check key=K body=same
+            thrift send b paid-check key=K body=same
+            scgi expect a 503 Retry-After
+            kernel send done f1
+            kernel expect SCHED b same
+            kernel send done b result
+            thrift expect b served result
+            kernel expect nothing""")
+
+    def test_thrift_then_scgi_while_running(self):
+        self.play("""
+            thrift send a paid-check key=K body=same
+            kernel expect SCHED a
+            scgi send b paid-check key=K body=same
+            wait 50
+            scgi expect b nothing
+            kernel send done a result
+            thrift expect a served result
+            scgi expect b 200 result
+            kernel expect nothing""")
+
+    def test_scgi_then_thrift_while_running_and_its_caller_gone(self):
+        self.play("""
+            scgi send a paid-check key=K body=same
+            kernel expect SCHED a
+            scgi close a
+            thrift send b paid-check key=K body=same
+            kernel send done a result
+            thrift expect b served result
+            kernel expect nothing""")
+
+    def test_thrift_then_scgi_when_done_until_the_window_ends(self):
+        self.play("""
+            thrift send a paid-check key=K body=same
+            kernel expect SCHED a
+            kernel send done a result
+            thrift expect a served result
+            wait 27700
+            scgi send b paid-check key=K body=same
+            scgi expect b 200 result
+            kernel expect nothing
+            wait 200
+            scgi send c paid-check key=K body=same
+            kernel expect SCHED c same""")
+
+    def test_scgi_then_thrift_when_done(self):
+        self.play("""
+            scgi send a paid-check key=K body=same
+            kernel expect SCHED a
+            kernel send done a result
+            scgi expect a 200 result
+            wait 27700
+            thrift send b paid-check key=K body=same
+            thrift expect b served result
+            kernel expect nothing""")
+
+    def test_a_repeat_of_a_failed_run_fails_and_is_not_refused(self):
+        self.play("""
+            thrift send a paid-check key=K body=same
+            kernel expect SCHED a
+            kernel send crashed a
+            thrift expect a failed
+            scgi send b paid-check key=K body=same
+            scgi expect b 502
+            kernel expect nothing""")
+
+    def test_two_tries_in_one_turn_know_of_each_other(self):
+        for name in ("a", "b"):
+            self.world.actors["thrift"].send(name, "paid-check", "key=K", "body=same")
+        self.play("""
+            wait 1
+            thrift expect a refused
+            kernel expect SCHED b
+            kernel expect nothing""")
+
+    def test_a_try_that_arrived_in_the_window_but_is_read_after_it_is_not_run(self):
+        self.play("""
+            thrift send a paid-check key=K body=same
+            kernel expect SCHED a
+            kernel send done a result
+            thrift expect a served result
+            wait 28000
+            thrift send b paid-check key=K body=same age=1000
+            thrift expect b served result
+            kernel expect nothing""")
+
+    def test_one_key_with_another_body_is_a_conflict(self):
+        self.play("""
+            thrift send a paid-check key=K body=one
+            scgi send b paid-check key=K body=two
+            scgi expect b 409
+            thrift send c paid-check key=K body=two
+            thrift expect c failed""")
+
+
+class ScgiTest(ScenarioCase):
+    """The mapping of SCGI's words."""
+
+    def test_what_is_no_request_is_told_why(self):
+        self.play("""
+            scgi send a report-view raw=9x:
+            scgi expect a 400
+            scgi send b no-such-class
+            scgi expect b 404
+            scgi send c report-view method=GET
+            scgi expect c 405 Allow:_POST
+            scgi send d paid-check
+            scgi expect d 400 Idempotency-Key
+            scgi send e report-view retry=yes
+            scgi expect e 400 not_of_its_form
+            scgi send f report-view hint=fast
+            scgi expect f 400
+            platform expect log request rejected""")
+        self.play(f"scgi send g report-view body={'x' * 2049}\n scgi expect g 413")
+        self.play("scgi send h report-view raw=9999:\n scgi expect h 413")
+
+    def test_failed_is_502_and_past_due_504(self):
+        self.play("""
+            scgi send a quick-check
+            kernel expect SCHED a
+            kernel send crashed a
+            scgi expect a 502
+            scgi send b paid-check key=K
+            kernel expect SCHED b
+            wait 9310
+            scgi expect b 504""")
+
+    def test_refused_is_503_with_whole_seconds(self):
+        self.play(FILL + """
+            scgi send a quick-check hint=2000
+            wait 950
+            scgi expect a 503 Retry-After:_1""")
+
+    def test_a_close_before_the_answer_means_gone(self):
+        self.play(FILL + """
+            scgi send a quick-check
+            scgi close a
+            kernel send done f1
+            wait 100
+            kernel expect nothing""")
+
+    def test_the_caller_is_never_a_front_ends_number(self):
+        self.play("scgi send a quick-check caller=1\n kernel expect SCHED a")
+        users = self.world.scorer.loop._state.policy.users
+        self.assertEqual(1, len(users))
+        self.assertLess(min(users), 0)
+
+
+class DrainTest(ScenarioCase):
+    """The notice to leave."""
+
+    stop_ms = 6_000
+
+    def test_scgi_before_the_grace_is_over_is_served_and_after_it_refused(self):
+        self.play("""
+            platform send TERM
+            platform expect off
+            thrift send status
+            thrift expect status bad
+            wait 1900
+            scgi send a quick-check
+            kernel expect SCHED a
+            thrift2 send b quick-check age=10
+            kernel expect SCHED b
+            wait 150
+            scgi send c quick-check
+            scgi expect c 503
+            thrift2 send d quick-check
+            thrift2 expect d refused
+            kernel expect nothing
+            thrift expect leaving
+            kernel send done a result
+            scgi expect a 200 result
+            kernel send done b result
+            thrift2 expect b served result
+            thrift close
+            thrift2 close
+            wait 100
+            platform expect exit""")
+
+    def test_all_that_was_read_is_answered_before_the_stop(self):
+        self.play(FILL + """
+            platform send TERM
+            thrift send a paid-check key=K
+            scgi send b paid-check key=L
+            wait 5700
+            thrift expect f1 failed
+            thrift expect a failed
+            scgi expect b 503
+            wait 200
+            platform expect exit""")
+
+    def test_a_notice_before_the_kernel_is_up_ends_the_process(self):
+        self.world.scorer.loop._state.policy = None
+        self.play("platform send TERM\n platform expect exit")
+
+
+class StartTest(ScenarioCase):
+    """Before the kernel is up."""
+
+    def test_a_request_before_the_kernel_is_up_is_refused(self):
+        self.world.scorer.loop._state.policy = None
+        self.play("""
+            thrift send a quick-check
+            thrift expect a refused
+            scgi send b quick-check
+            scgi expect b 503 Retry-After:_1
+            thrift send status
+            thrift expect status good""")
+
+    def test_reports_come_well_inside_three_seconds(self):
+        before = len(self.world.reports)
+        self.play("wait 3000")
+        self.assertGreaterEqual(len(self.world.reports) - before, 3)
+        self.assertTrue(all(self.world.reports))
