--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+.PHONY: build run sim test lint
+
+build:
+	test -f .venv/ready || (python3 -m venv --clear .venv && .venv/bin/pip -q install -r requirements.txt && touch .venv/ready)
+
+run: build
+	exec .venv/bin/python -B -m sagetrestle
+
+sim: build
+	exec .venv/bin/python -B -m sagetrestle.wirehost
+
+.venv-ci/ready: requirements.txt requirements-dev.txt
+	python3 -m venv --clear .venv-ci
+	.venv-ci/bin/pip -q install -r requirements-dev.txt
+	touch $@
+
+test: .venv-ci/ready
+	PYTHONDONTWRITEBYTECODE=1 .venv-ci/bin/python -m pytest
+
+lint: .venv-ci/ready
+	.venv-ci/bin/ruff check --no-cache sagetrestle tests
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -109,7 +109,7 @@
     def _listen(self) -> None:
         host, port = self.config.listen
         self.roster.listen(self.reactor, host)
-        self.thrift.port = self.reactor.listenTCP(port, self.thrift, backlog=BACKLOG, interface=host)
+        self._open(self.thrift, host, port)
         if self.config.scgi:
             self._listen_scgi(self.config.scgi)
 
@@ -117,12 +117,21 @@
         """Open the second front, and the responder that names the port it has."""
         host, port = scgi.listen
         front = self.fronts["scgi"]
-        front.port = self.reactor.listenTCP(port, front, backlog=BACKLOG, interface=host)
+        address = (host, self._open(front, host, port))
         if scgi.dns_listen:
-            address = (host, front.port.getHost().port)
             names = [cls.name for cls in self.config.plan.settings.classes]
             self.dns = DnsResponder(ServiceAuthority(scgi.domain, scgi.instance, address, names))
-            self.dns.listen(self.reactor, scgi.dns_listen)
+            self._listens("dns", scgi.dns_listen[0], self.dns.listen(self.reactor, scgi.dns_listen))
+
+    def _open(self, front: Front[Any], host: str, port: int) -> int:
+        """Take a front's listening socket and return its port, which the machine chose if it was 0."""
+        front.port = self.reactor.listenTCP(port, front, backlog=BACKLOG, interface=host)
+        got = front.port.getHost().port
+        self._listens(front.kind, host, got)
+        return got
+
+    def _listens(self, kind: str, host: str, port: int) -> None:
+        self._log.line(f"{kind} front listens on {host}:{port}")
 
     def _announce(self, on: bool) -> None:
         if self.dns:
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the module, the adapter and the real scorer."""
--- a/tests/net/__init__.py
+++ b/tests/net/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the real scorer."""
--- /dev/null
+++ b/tests/net/test_loopback.py
@@ -0,0 +1,116 @@
+"""The scorer as a process, on loopback sockets, among stand-ins."""
+
+import asyncio
+import random
+from collections import Counter
+
+from twisted.names import dns
+
+from tests.net.scenario import call_id
+from tests.net.standins import PATIENCE_S, Datagrams, FrontEnd, LoopbackCase, ask_scgi
+
+CORES, WORK_S, OVERLOAD, COUNT = 2, 0.03, 1.3, 260
+
+
+class OverloadTest(LoopbackCase):
+    """Both protocols at 130% of capacity."""
+
+    work_s = WORK_S
+
+    async def test_every_request_has_one_answer_and_none_runs_twice(self):
+        """Counted at the stand-in kernel; every fourth request is a charge, and most charges come again."""
+        self.front = await FrontEnd(self.ports["thrift"]).connect()
+        self.scgi_answers = []
+        rng, asked = random.Random(5), []
+        for number in range(COUNT):
+            asked.append(asyncio.create_task(self._ask(number, rng.random() < 0.5)))
+            await asyncio.sleep(WORK_S / CORES / OVERLOAD)
+        await asyncio.gather(*asked)
+        await asyncio.sleep(0.1)  # for a second answer, were there one
+        self.assertEqual(self.front.count, len(self.front.answers))
+        self.assertEqual({1}, {len(answers) for answers in self.front.answers.values()})
+        self.assertEqual(COUNT, len(self.scgi_answers) + self.front.count)
+        self.assertTrue(all(data.count(b"Status: ") == 1 for data in self.scgi_answers))
+        served = sum(data.startswith(b"Status: 200 ") for data in self.scgi_answers)
+        self.assertGreater(served, 0)
+        ids = Counter(call for call, _ in self.kernel.starts)
+        charges = Counter(body for _, body in self.kernel.starts if body.startswith(b"charge"))
+        self.assertEqual({1}, set(ids.values()))
+        self.assertEqual({1}, set(charges.values()))
+        self.assertEqual(0, await self.stop())
+        self.assertIn(b"HERE n1 off", self.roster.taken())
+
+    async def _ask(self, number: int, thrift: bool) -> None:
+        charge = number % 4 == 0 or (number % 4 == 1 and number % 3 > 0)
+        cls = "paid-check" if charge else ("report-view", "quick-check")[number % 2]
+        body, key = b"read", None
+        if charge:
+            body, key = b"charge %d" % (number // 4), f"key-{number // 4}"
+        if thrift:
+            await self.front.ask(call_id(f"q{number}"), cls, body, key)
+        else:
+            headers = {"HTTP_IDEMPOTENCY_KEY": key} if key else {}
+            self.scgi_answers.append(await ask_scgi(self.ports["scgi"], cls, body, **headers))
+
+
+class ScgiSocketTest(LoopbackCase):
+    """What only real sockets show of SCGI."""
+
+    work_s = 0.4
+
+    async def test_a_half_close_after_the_request_still_gets_the_answer(self):
+        data = await ask_scgi(self.ports["scgi"], "report-view", b"x", half_close=True)
+        self.assertTrue(data.startswith(b"Status: 200 OK\r\n"), data)
+        self.assertIn(b"\r\n\r\nresult of ", data)
+
+    async def test_a_close_before_the_answer_means_gone(self):
+        """Both look the same until something is written: the run of a closed one is stopped."""
+        asked = asyncio.create_task(ask_scgi(self.ports["scgi"], "report-view", b"x"))
+        while not self.kernel.starts:
+            await asyncio.sleep(0.01)
+        asked.cancel()
+        await asyncio.gather(asked, return_exceptions=True)
+        await asyncio.wait_for(self.kernel.preempted.wait(), PATIENCE_S)
+        self.assertEqual(1, len(self.kernel.starts))
+
+    async def test_the_answer_to_a_body_over_the_bound_arrives_though_it_was_not_read(self):
+        data = await ask_scgi(self.ports["scgi"], "report-view", b"x" * 60_000)
+        self.assertTrue(data.startswith(b"Status: 413 "), data)
+
+
+class DnsSdTest(LoopbackCase):
+    """The service's records, by unicast DNS on loopback."""
+
+    async def test_the_service_is_found_step_by_step_and_withdrawn_on_drain(self):
+        kind = "_scgi._tcp.sagetrestle.internal"
+        found = await self._query("_services._dns-sd._udp.sagetrestle.internal", dns.PTR)
+        self.assertEqual([kind], [str(one.payload.name) for one in found.answers])
+        found = await self._query(kind, dns.PTR)
+        self.assertEqual([f"n1.{kind}"], [str(one.payload.name) for one in found.answers])
+        self.assertEqual({dns.SRV, dns.TXT, dns.A}, {one.type for one in found.additional})
+        found = await self._query(f"n1.{kind}", dns.SRV)
+        self.assertEqual(self.ports["scgi"], found.answers[0].payload.port)
+        found = await self._query(f"n1.{kind}", dns.TXT)
+        self.assertEqual([b"txtvers=1", b"classes=report-view,quick-check,paid-check"],
+                         found.answers[0].payload.data)
+        found = await self._query("n1.sagetrestle.internal", dns.A)
+        self.assertEqual("127.0.0.1", found.answers[0].payload.dottedQuad())
+        front = await FrontEnd(self.ports["thrift"]).connect()  # an open connection keeps the process
+        self.process.terminate()
+        while not self.log_has("drain:"):
+            await asyncio.sleep(0.01)
+        found = await self._query(kind, dns.PTR)
+        self.assertEqual(([], dns.ENAME), (found.answers, found.rCode))
+        front.writer.close()
+
+    async def _query(self, name: str, type: int) -> dns.Message:
+        """Ask over UDP, as any resolver does."""
+        question = dns.Message(id=9)
+        question.addQuery(name, type)
+        sender, got = await asyncio.get_running_loop().create_datagram_endpoint(
+            Datagrams, remote_addr=("127.0.0.1", self.ports["dns"]))
+        self.addCleanup(sender.close)
+        sender.sendto(question.toStr())
+        message = dns.Message()
+        message.fromStr(await asyncio.wait_for(got.queue.get(), PATIENCE_S))
+        return message
--- /dev/null
+++ b/tests/net/test_parts.py
@@ -0,0 +1,150 @@
+"""Layers, outcomes, configuration, clock, log and loop."""
+
+import ast
+import json
+import os
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from twisted.internet.task import Clock as FakeReactor
+
+from sagetrestle.interface import NEVER_RAN, Outcome
+from sagetrestle.net.program import config
+from sagetrestle.net.program.clock import Clock
+from sagetrestle.net.program.log import LINES_A_SECOND, BoundedLog
+from sagetrestle.net.program.loop import TurnLoop
+from sagetrestle.net.routing import outcomes
+from sagetrestle.net.routing.inputs import Started
+from sagetrestle.net.routing.state import new_state
+from sagetrestle.net.routing.values import CallVerdict, ConnectionEnd, RunEnd
+from tests.net.scenario import PARAMS, plan
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+NET = ROOT / "sagetrestle" / "net"
+FORBIDDEN = {"routing": ("twisted", "net.protocol", "net.transport", "net.program", "time", "socket"),
+             "protocol": ("twisted", "net.routing", "net.transport", "net.program", "time", "datetime"),
+             "transport": ("net.program", "logic")}
+
+
+class LayersTest(unittest.TestCase):
+    """Who may import whom."""
+
+    def test_no_layer_reaches_up(self):
+        for layer, forbidden in FORBIDDEN.items():
+            for path in (NET / layer).glob("*.py"):
+                for node in ast.walk(ast.parse(path.read_text())):
+                    names = [node.module or ""] if isinstance(node, ast.ImportFrom) else [
+                        one.name for one in node.names] if isinstance(node, ast.Import) else []
+                    for name in names:
+                        short = name.removeprefix("sagetrestle.")
+                        hit = [one for one in forbidden if short == one or short.startswith(f"{one}.")]
+                        self.assertFalse(hit, f"{path.name}: {name}")
+
+    def test_the_core_loads_without_twisted(self):
+        code = "import sys, sagetrestle.net.routing.reducer; print('twisted' in sys.modules)"
+        got = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True)
+        self.assertEqual("False\n", got.stdout, got.stderr)
+
+    def test_the_module_keeps_its_size(self):
+        text = (ROOT / "sagetrestle" / "logic.py").read_text()
+        self.assertLessEqual(sum(bool(line.strip()) for line in text.splitlines()), 750)
+
+
+class OutcomesTest(unittest.TestCase):
+    """Every end has its outcome, and only a refusal proves that nothing ran."""
+
+    def test_all_ends_are_mapped(self):
+        self.assertEqual(set(RunEnd), set(outcomes.RUNS))
+        self.assertEqual(set(CallVerdict), set(outcomes.CALLS))
+        self.assertEqual(set(ConnectionEnd), set(outcomes.CONNECTIONS))
+
+    def test_a_broken_connection_proves_nothing_once_written(self):
+        for end in (ConnectionEnd.CLOSED, ConnectionEnd.RESET, ConnectionEnd.MALFORMED):
+            self.assertNotIn(outcomes.connection_outcome(end, written=True), NEVER_RAN)
+            self.assertIs(Outcome.CONNECT_FAILED, outcomes.connection_outcome(end, written=False))
+        self.assertIn(outcomes.connection_outcome(ConnectionEnd.REFUSED, written=True), NEVER_RAN)
+
+
+class ConfigTest(unittest.TestCase):
+    """A bad configuration is one line that names the field."""
+
+    def setUp(self):
+        self.folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.told = {"name": "n1", "listen": "127.0.0.1:0", "kernel": "127.0.0.1:1", "roster": "127.0.0.1:2",
+                     "ledger": "127.0.0.1:3", "seed": "ff", "stop_ms": 3200, "settings": PARAMS}
+
+    def read(self, scgi=None, **over):
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(self.told | over))
+        if scgi is not None:
+            (self.folder / "scgi.toml").write_text(scgi)
+        return config.read_config({"ROUTER_CONFIG": str(path)}, self.folder / "scgi.toml")
+
+    def test_a_good_one_and_the_second_front_off(self):
+        got = self.read()
+        self.assertEqual(("n1", 255, 3_200_000, None), (got.name, got.plan.seed, got.plan.stop_us, got.scgi))
+        self.assertIsNone(self.read(scgi="# nothing").scgi)
+        self.assertIsNone(config.read_scgi(ROOT / "deploy" / "scgi.toml", "n1"))
+
+    def test_the_field_is_named(self):
+        cores = PARAMS | {"extra": PARAMS["extra"] | {"cores": 0}}
+        for field, value in (("listen", "x"), ("kernel", None), ("roster", "127.0.0.1:99999"),
+                             ("ledger", "a:1"), ("stop_ms", 0), ("seed", "xyz"), ("settings", 3),
+                             ("name", "")):
+            with self.subTest(field), self.assertRaisesRegex(config.ConfigError, f"^{field}: "):
+                self.read(**{field: value})
+        with self.assertRaisesRegex(config.ConfigError, "^settings: cores"):
+            self.read(settings=cores)
+        for text, says in (("listen = 'example.com:1'", "listen"), ("listen = '10.0.0.1:1'", "loopback"),
+                           ("lissen = 1", "lissen"), ("[", "scgi.toml"),
+                           ("listen='127.0.0.1:1'\nheld_kb=0", "held_kb"),
+                           ("listen='127.0.0.1:1'\ninstance='a.b'", "instance"),
+                           ("listen='127.0.0.1:1'\ndomain='..'", "domain")):
+            with self.subTest(text), self.assertRaisesRegex(config.ConfigError, says):
+                self.read(scgi=text)
+
+    def test_the_process_exits_with_one_line(self):
+        env = {**os.environ, "ROUTER_CONFIG": str(self.folder / "none.json")}
+        got = subprocess.run([sys.executable, "-B", "-m", "sagetrestle"], cwd=ROOT, env=env,
+                             capture_output=True, text=True)
+        self.assertEqual((2, 1), (got.returncode, len(got.stderr.splitlines())), got.stderr)
+        self.assertIn("ROUTER_CONFIG", got.stderr)
+
+
+class ProgramTest(unittest.TestCase):
+    """Clock, log and loop."""
+
+    def test_unix_time_is_converted_at_the_edge(self):
+        clock = Clock(lambda: 5_000_000_000, lambda: 1_764_576_000_000 * 1_000_000)
+        self.assertEqual(5_000_000, clock.read())
+        self.assertEqual(5_000_000 - 250_000, clock.from_unix_ms(1_764_576_000_000 - 250))
+
+    def test_the_log_is_bounded_and_says_what_it_left_out(self):
+        lines, now = [], [0]
+        log = BoundedLog(lines.append, lambda: now[0])
+        for _ in range(LINES_A_SECOND + 7):
+            log.line("a\nb")
+        now[0] = 1_000_000
+        log.line("c")
+        self.assertEqual(["a b"] * LINES_A_SECOND + ["log: 7 lines left out", "c"], lines)
+
+    def test_a_turn_that_fails_is_noted_and_the_loop_goes_on(self):
+        reactor, failed, done = FakeReactor(), [], []
+        clock = Clock(lambda: 10**9, lambda: 0)
+        loop = TurnLoop(reactor, clock, new_state(plan()), done.append, failed.append)
+        loop.post("no input")
+        reactor.advance(0)
+        loop.post(Started())
+        reactor.advance(0)
+        self.assertEqual(1, len(failed))
+        self.assertTrue(done)
+
+    def test_every_log_line_is_on_the_on_call_page(self):
+        page = (ROOT / "docs" / "on-call.md").read_text()
+        for path in [*(NET / "routing").glob("*.py"), *(NET / "program").glob("*.py")]:
+            for text in re.findall(r'(?:log|line)\(\s*f?"([a-z][^{"]+)', path.read_text()):
+                self.assertIn(text.strip(), page, path.name)
--- /dev/null
+++ b/tests/net/test_protocol.py
@@ -0,0 +1,147 @@
+"""The wires as bytes: any cut gives the same values, bounds hold, rubbish gives the one typed error."""
+
+import random
+import unittest
+
+from sagetrestle.net.protocol import kernel, ledger, roster, scgi, thrift
+from sagetrestle.net.protocol.errors import Fault, ProtocolError
+from sagetrestle.net.protocol.thrift import Kind, Type
+
+FIELDS = {"c": "paid-check", "i": "0123456789abcdef", "s": "1764576000123", "f": "4", "h": "12.50",
+          "m": "24.5", "p": "0.625", "k": "5c0f"}
+
+
+def handle(seqid=1, body=b"\0\xff", **over):
+    pairs = {key: value for key, value in (FIELDS | over).items() if value is not None}
+    fields = thrift.field(Type.MAP, 1, thrift.text_map(pairs))
+    fields += thrift.field(Type.STRING, 2, thrift.string(body))
+    return thrift.encode_message("handle", Kind.CALL, seqid, fields)
+
+
+def read(frame):
+    return thrift.read_call(thrift.decode_message(frame))
+
+
+STREAMS = {
+    "thrift": (thrift.FrameDecoder, handle() + thrift.encode_leaving() + handle(2), 3),
+    "kernel": (kernel.NoticeDecoder, b'{"msg":"INFO","cookie":"a","stats":[1,null]}\n'
+               b'{"msg":"REAP","serial":1,"call":"x","how":"done","duration":3,"blob":"AAE="}\n', 2),
+    "ledger": (ledger.ReplyDecoder, b"0123456789abcdef posted 4\r\n\r\n\r\n\r\n0123456789abcdef moot\r\n", 2),
+}
+
+
+class IncrementalTest(unittest.TestCase):
+    """However a stream is cut, the same comes out."""
+
+    def test_byte_by_byte_is_as_at_once(self):
+        for name, (decoder, data, count) in STREAMS.items():
+            with self.subTest(name):
+                whole, cut = decoder().feed(data), decoder()
+                self.assertEqual(count, len(whole))
+                self.assertEqual(whole, [one for at in range(len(data)) for one in cut.feed(data[at:at + 1])])
+
+    def test_scgi_byte_by_byte(self):
+        data, decoder = scgi.encode_request({"PATH_INFO": "/a"}, b"\0body"), scgi.RequestDecoder()
+        got = [decoder.feed(data[at:at + 1]) for at in range(len(data))]
+        self.assertEqual([None] * (len(data) - 1), got[:-1])
+        self.assertEqual((b"\0body", "/a"), (got[-1].body, got[-1].headers["PATH_INFO"]))
+
+    def test_damage_gives_the_typed_error_or_a_value_and_nothing_else(self):
+        rng = random.Random(11)
+        for name, (decoder, data, _) in STREAMS.items():
+            for _ in range(400):
+                hurt = bytearray(data)
+                for _ in range(rng.randint(1, 4)):
+                    hurt[rng.randrange(len(hurt))] = rng.randrange(256)
+                with self.subTest(name, data=bytes(hurt)):
+                    try:
+                        got = decoder().feed(bytes(hurt))
+                        self.assertIsInstance([read(one) for one in got] if name == "thrift" else got, list)
+                    except ProtocolError as error:
+                        self.assertIn(error.fault, Fault)
+
+
+class ThriftTest(unittest.TestCase):
+    """The binary protocol and the service on it."""
+
+    def test_a_request(self):
+        (frame,) = thrift.FrameDecoder().feed(handle(7))
+        got = read(frame)
+        want = (7, "paid-check", 1764576000123, 4, False, 12.5, 24.5, 0.625, "5c0f", None, b"\0\xff")
+        self.assertEqual(want, (
+            got.seqid, got.cls, got.stamp_ms, got.caller, got.retry, got.hint_ms, got.held_kb, got.rank,
+            got.key, got.subject, got.body))
+
+    def test_bad_fields_are_named(self):
+        for name, value in (("i", "xyz"), ("s", "-1"), ("h", "nan"), ("m", "inf"), ("f", ""), ("c", None)):
+            with self.subTest(name):
+                got = read(handle(**{name: value})[4:])
+                self.assertIsInstance(got, thrift.BadFields)
+                self.assertIn(f"'{name}'", got.why)
+
+    def test_bounds(self):
+        for frame in (handle(body=b"x" * 2049), b"\x7f\xff\xff\xff"):
+            with self.assertRaises(ProtocolError) as caught:
+                [read(one) for one in thrift.FrameDecoder().feed(frame)]
+            self.assertIs(Fault.TOO_LARGE, caught.exception.fault)
+
+    def test_nesting_and_counts_are_bounded(self):
+        deep = thrift.field(Type.STRUCT, 1, b"") * 40
+        many = thrift.field(Type.LIST, 1, b"\x02\x7f\xff\xff\xff")
+        for fields in (deep, many):
+            with self.assertRaises(ProtocolError):
+                thrift.decode_message(thrift.encode_message("handle", Kind.CALL, 1, fields)[4:])
+
+    def test_unknown_fields_and_methods_are_stepped_over(self):
+        numbers = b"\x08\0\0\0\x01\0\0\0\x05"
+        extra = thrift.field(Type.DOUBLE, 9, bytes(8)) + thrift.field(Type.SET, 8, numbers)
+        got = read(thrift.encode_message("sing", Kind.CALL, 3, extra)[4:])
+        self.assertEqual(thrift.UnknownMethod(3, "sing", False), got)
+
+
+class ScgiTest(unittest.TestCase):
+    """Strictness of the netstring and its headers."""
+
+    def test_what_is_refused(self):
+        good = b"CONTENT_LENGTH\x000\x00SCGI\x001\x00"
+        for data in (
+            b"x", b"012:", b":,", b"99999:", b"25:" + good + b"XX", b"123456789",
+            b"23:SCGI\x001\x00CONTENT_LENGTH\x000\x00,", b"25:CONTENT_LENGTH\x0001\x00SCGI\x001\x00,",
+            b"24:CONTENT_LENGTH\x000\x00SCGI\x002\x00,", b"17:CONTENT_LENGTH\x000\x00,",
+            b"31:" + good + b"SCGI\x001\x00,", b"24:" + good + b",tail",
+        ):
+            with self.subTest(data), self.assertRaises(ProtocolError):
+                scgi.RequestDecoder().feed(data)
+
+    def test_the_good_one_and_bounds(self):
+        self.assertEqual(b"", scgi.RequestDecoder().feed(b"24:CONTENT_LENGTH\x000\x00SCGI\x001\x00,").body)
+        for data in (b"8193:", b"27:CONTENT_LENGTH\x002049\x00SCGI\x001\x00,"):
+            with self.assertRaises(ProtocolError) as caught:
+                scgi.RequestDecoder().feed(data)
+            self.assertIs(Fault.TOO_LARGE, caught.exception.fault)
+
+
+class OtherWiresTest(unittest.TestCase):
+    """Kernel, ledger and roster."""
+
+    def test_kernel_rubbish_and_news(self):
+        for line in (b"[]", b"{}", b"null", b'{"msg":"REAP","serial":1,"call":"x","how":"odd"}',
+                     b'{"msg":"IOREQ","serial":1,"call":"x","blob":"*"}'):
+            with self.subTest(line), self.assertRaises(ProtocolError):
+                kernel.decode_notice(line)
+        self.assertEqual(kernel.Unknown("NEWS", 4), kernel.decode_notice(b'{"msg":"NEWS","serial":4}'))
+        with self.assertRaises(ProtocolError):
+            kernel.NoticeDecoder().feed(b"x" * (kernel.MAX_LINE + 1))
+
+    def test_ledger_rubbish(self):
+        for data in (b"x\r\n", b"0123456789abcdef sung\r\n", b"0123456789abcdef posted\r\n",
+                     b"0123456789abcdef moot 3\r\n", b"0123456789abcdef posted 1\r\nabc", b"x" * 300,
+                     b"0123456789abcdef posted 999999\r\n"):
+            with self.subTest(data), self.assertRaises(ProtocolError):
+                ledger.ReplyDecoder().feed(data)
+
+    def test_roster(self):
+        self.assertEqual(b"HERE n3 off", roster.encode_report("n3", False))
+        self.assertEqual(("n3", True), roster.decode_report(b"HERE n3 on"))
+        with self.assertRaises(ProtocolError):
+            roster.decode_report(b"HERE n3")
