Answer what a failed turn lost, and bound gauges asked, stamps, keys and DNS connections

Cause: a review of the buffers and of what follows a failed turn. A request whose input was lost had no answer by its due time (loop.py drops a failed turn's inputs); SYSINFO was written every 100 ms to a kernel that answers none (chores.py); a stamp ahead of the clock stretched the keyed window (fronts.py); a key of 16 KiB could be kept (thrift.py); DNS over TCP took any number of connections (dnssd.py); an address in use left a process that listens nowhere (main.py).

--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+from twisted.internet.error import CannotListenError
+
 from sagetrestle.net.program import log, signals
 from sagetrestle.net.program.clock import Clock
 from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig, read_config
@@ -47,6 +49,7 @@
         self.ledger = LedgerPool(reactor, config.ledger, post)
         self.roster = Roster(config.name, config.roster)
         self.dns: DnsResponder | None = None
+        self.exit_code = 0
         if config.scgi:
             self._add_scgi(config.scgi, post)
 
@@ -107,11 +110,17 @@
             act(connection)
 
     def _listen(self) -> None:
+        """Open the fronts; a scorer that can not listen is of no use and ends."""
         host, port = self.config.listen
-        self.roster.listen(self.reactor, host)
-        self._open(self.thrift, host, port)
-        if self.config.scgi:
-            self._listen_scgi(self.config.scgi)
+        try:
+            self.roster.listen(self.reactor, host)
+            self._open(self.thrift, host, port)
+            if self.config.scgi:
+                self._listen_scgi(self.config.scgi)
+        except CannotListenError as error:
+            self._log.line(f"can not listen: {error}")
+            self.exit_code = 1
+            self.reactor.stop()
 
     def _listen_scgi(self, scgi: ScgiConfig) -> None:
         """Open the second front, and the responder that names the port it has."""
@@ -164,4 +173,4 @@
     scorer.start()
     gc.freeze()
     reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
-    return 0
+    return scorer.exit_code
--- a/sagetrestle/net/protocol/thrift.py
+++ b/sagetrestle/net/protocol/thrift.py
@@ -247,8 +247,8 @@
         return Handle(
             message.seqid, fields["c"], _matching(fields, "i", r"[0-9a-f]{16}"), _whole(fields, "s"),
             _whole(fields, "f"), fields.get("r", "") == "1", _number(fields, "h", 0.0),
-            _number(fields, "m", 0.0), _number(fields, "p", 0.0), fields.get("k") or None,
-            fields.get("o") or None, body,
+            _number(fields, "m", 0.0), _number(fields, "p", 0.0), _short(fields, "k"), _short(fields, "o"),
+            body,
         )
     except KeyError as error:
         return BadFields(message.seqid, f"field {error} is missing")
@@ -262,6 +262,11 @@
     return fields[name]
 
 
+def _short(fields: dict[str, str], name: str) -> str | None:
+    """Return a name that is kept for long, and so must be short."""
+    return _matching(fields, name, r".{1,128}") if fields.get(name) else None
+
+
 def _whole(fields: dict[str, str], name: str) -> int:
     return int(_matching(fields, name, r"[0-9]{1,18}"))
 
--- a/sagetrestle/net/routing/chores.py
+++ b/sagetrestle/net/routing/chores.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from sagetrestle.interface import Drain
+from sagetrestle.interface import Drain, Gone
 from sagetrestle.net.routing import inputs
 from sagetrestle.net.routing.actions import set_health
 from sagetrestle.net.routing.effects import (
@@ -18,6 +18,7 @@
 REPORT_EVERY_US = 800_000  # the roster drops a server 3 s after its last report
 GAUGES_EVERY_US = 100_000  # the module's timers take the last gauges and never wait for newer ones
 IDLE_EVERY_US = 200_000
+OVERDUE_EVERY_US = 100_000  # the rules allow 110 ms past the due time
 LEAVING_US = 1_000_000  # how long the other side has to close a connection that is left
 DRAIN_EVERY_US = 20_000
 EXIT_BEFORE_US = 120_000  # the process ends so long before it would be stopped
@@ -28,7 +29,7 @@
     """Open the fronts, report, and reach for the kernel."""
     turn.effects += [Listen(), ConnectKernel()]
     turn.state.kernel.link = Link.CONNECTING
-    turn.state.chores.update(report=turn.now, gauges=turn.now, idle=turn.now + IDLE_EVERY_US)
+    turn.state.chores.update(report=turn.now, gauges=turn.now, overdue=turn.now, idle=turn.now)
 
 
 def stop_asked(turn: Turn, _: inputs.StopAsked) -> None:
@@ -60,11 +61,28 @@
 
 
 def _ask_gauges(turn: Turn) -> None:
-    if turn.state.kernel.link is Link.UP:
+    kernel = turn.state.kernel
+    if kernel.link is Link.UP and not kernel.asked:  # a kernel that answers nothing is not asked on and on
+        kernel.asked = True
         turn.effects.append(AskGauges("gauges"))
     turn.state.chores["gauges"] = turn.now + GAUGES_EVERY_US
 
 
+def _answer_overdue(turn: Turn) -> None:
+    """Fail what is past its due time and still has no answer.
+
+    The module answers in time by itself; this guards against inputs that were lost in a failed turn.
+    """
+    classes = turn.state.plan.settings.classes
+    for entry in list(turn.state.entries.values()):
+        if entry.owed and turn.now > entry.request.arrived + classes[entry.request.cls].deadline_us:
+            turn.log(f"request {entry.request.id} was left unanswered by the module")
+            turn.answer(entry, turn.failure(entry))
+            turn.events.append(Gone(entry.request.id))
+            turn.give_up(entry)
+    turn.state.chores["overdue"] = turn.now + OVERDUE_EVERY_US
+
+
 def _close_idle(turn: Turn) -> None:
     """Ask the other side to close what was idle too long; close it here if that is not done."""
     for name, one in turn.state.connections.items():
@@ -109,7 +127,8 @@
 
 
 CHORES: dict[str, Callable[[Turn], None]] = {
-    "kernel": _connect, "report": _report, "gauges": _ask_gauges, "idle": _close_idle, "drain": _drain,
+    "kernel": _connect, "report": _report, "gauges": _ask_gauges, "overdue": _answer_overdue,
+    "idle": _close_idle, "drain": _drain,
 }
 
 
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -52,7 +52,8 @@
 def request_read(turn: Turn, item: inputs.RequestRead) -> None:
     """Take a request in, tied to the try it repeats, and tell the module."""
     state = turn.state
-    request = item.request._replace(arrived=item.request.arrived or turn.now)
+    # A stamp ahead of the clock would stretch deadlines and windows.
+    request = item.request._replace(arrived=min(item.request.arrived or turn.now, turn.now))
     connection = state.connections.get(request.ticket.connection)
     if connection is None:
         return
--- a/sagetrestle/net/routing/runs.py
+++ b/sagetrestle/net/routing/runs.py
@@ -31,7 +31,7 @@
         turn.log(f"kernel link lost: {item.end.value}{': ' if item.detail else ''}{item.detail}")
     if kernel.link is Link.UP:
         kernel.lost_at, kernel.backoff_us = turn.now, 0
-    kernel.link = Link.DOWN
+    kernel.link, kernel.asked = Link.DOWN, False
     kernel.backoff_us = min(BACKOFF_MOST_US, max(BACKOFF_FIRST_US, 2 * kernel.backoff_us))
     turn.state.chores["kernel"] = turn.now + kernel.backoff_us
 
@@ -59,6 +59,7 @@
 
 def gauges_read(turn: Turn, item: inputs.GaugesRead) -> None:
     """Take the gauges; the answer to the question asked at the link's start ends the catching up."""
+    turn.state.kernel.asked = False
     names = turn.state.plan.gauges
     told = dict(zip(names, item.stats, strict=False))
     turn.state.gauges = Gauges(told.get("core_use"), told.get("on_cores"), told.get("heap_share"),
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -76,6 +76,7 @@
     lost_at: int = 0
     backoff_us: int = 0
     syncs: int = 0
+    asked: bool = False  # for the gauges, and not answered yet
 
 
 @dataclass(slots=True)
--- a/sagetrestle/net/transport/dnssd.py
+++ b/sagetrestle/net/transport/dnssd.py
@@ -9,8 +9,10 @@
 from twisted.names import common, dns
 from twisted.names.authority import FileAuthority
 from twisted.names.server import DNSServerFactory
+from twisted.protocols.policies import TimeoutFactory
 
 SERVICE = "_scgi._tcp"
+MOST_CONNECTIONS, IDLE_S = 16, 10
 TTL_S = 10  # unicast DNS has no goodbye: a withdrawn service is remembered so long at the most
 
 
@@ -63,6 +65,16 @@
     return {key.lower().encode(): records for key, records in found.items()}
 
 
+class BoundedFactory(DNSServerFactory):
+    """Takes a few connections only: descriptors are bounded, and requests need theirs."""
+
+    noisy = False
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Take a connection if one fits."""
+        return super().buildProtocol(addr) if len(self.connections) < MOST_CONNECTIONS else None
+
+
 class DnsResponder:
     """Answers questions on one loopback address, over UDP and TCP."""
 
@@ -72,12 +84,11 @@
 
     def listen(self, reactor: Any, address: tuple[str, int]) -> int:
         """Take the sockets and return their port."""
-        factory = DNSServerFactory(authorities=[self.authority])
-        factory.noisy = False
+        factory = BoundedFactory(authorities=[self.authority])
         protocol = dns.DNSDatagramProtocol(factory)
         protocol.noisy = False
         host, port = address
-        tcp = reactor.listenTCP(port, factory, interface=host)
+        tcp = reactor.listenTCP(port, TimeoutFactory(factory, IDLE_S), interface=host)
         udp = reactor.listenUDP(tcp.getHost().port, protocol, interface=host)
         self.ports = [tcp, udp]
         return tcp.getHost().port
--- a/tests/net/test_loopback.py
+++ b/tests/net/test_loopback.py
@@ -95,6 +95,13 @@
                          found.answers[0].payload.data)
         found = await self._query("n1.sagetrestle.internal", dns.A)
         self.assertEqual("127.0.0.1", found.answers[0].payload.dottedQuad())
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.ports["dns"])
+        question = self._question(kind, dns.PTR)
+        writer.write(len(question).to_bytes(2, "big") + question)
+        size = int.from_bytes(await asyncio.wait_for(reader.readexactly(2), PATIENCE_S), "big")
+        found = self._message(await reader.readexactly(size))
+        self.assertEqual([f"n1.{kind}"], [str(one.payload.name) for one in found.answers])
+        writer.close()
         front = await FrontEnd(self.ports["thrift"]).connect()  # an open connection keeps the process
         self.process.terminate()
         while not self.log_has("drain:"):
@@ -105,12 +112,20 @@
 
     async def _query(self, name: str, type: int) -> dns.Message:
         """Ask over UDP, as any resolver does."""
-        question = dns.Message(id=9)
-        question.addQuery(name, type)
         sender, got = await asyncio.get_running_loop().create_datagram_endpoint(
             Datagrams, remote_addr=("127.0.0.1", self.ports["dns"]))
         self.addCleanup(sender.close)
-        sender.sendto(question.toStr())
+        sender.sendto(self._question(name, type))
+        return self._message(await asyncio.wait_for(got.queue.get(), PATIENCE_S))
+
+    @staticmethod
+    def _question(name: str, type: int) -> bytes:
+        question = dns.Message(id=9)
+        question.addQuery(name, type)
+        return question.toStr()
+
+    @staticmethod
+    def _message(data: bytes) -> dns.Message:
         message = dns.Message()
-        message.fromStr(await asyncio.wait_for(got.queue.get(), PATIENCE_S))
+        message.fromStr(data)
         return message
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import re
+import socket
 import subprocess
 import sys
 import tempfile
@@ -107,13 +108,23 @@
             with self.subTest(text), self.assertRaisesRegex(config.ConfigError, says):
                 self.read(scgi=text)
 
+    def start(self, path):
+        env = {**os.environ, "ROUTER_CONFIG": str(path)}
+        return subprocess.run([sys.executable, "-B", "-m", "sagetrestle"], cwd=ROOT, env=env,
+                              capture_output=True, text=True, timeout=60)
+
     def test_the_process_exits_with_one_line(self):
-        env = {**os.environ, "ROUTER_CONFIG": str(self.folder / "none.json")}
-        got = subprocess.run([sys.executable, "-B", "-m", "sagetrestle"], cwd=ROOT, env=env,
-                             capture_output=True, text=True)
+        got = self.start(self.folder / "none.json")
         self.assertEqual((2, 1), (got.returncode, len(got.stderr.splitlines())), got.stderr)
         self.assertIn("ROUTER_CONFIG", got.stderr)
 
+    def test_an_address_in_use_ends_the_process(self):
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            self.read(listen=f"127.0.0.1:{taken.getsockname()[1]}")
+            got = self.start(self.folder / "config.json")
+        self.assertEqual(1, got.returncode, got.stderr)
+        self.assertIn("can not listen", got.stderr)
+
 
 class ProgramTest(unittest.TestCase):
     """Clock, log and loop."""
--- a/tests/net/test_protocol.py
+++ b/tests/net/test_protocol.py
@@ -73,7 +73,8 @@
             got.key, got.subject, got.body))
 
     def test_bad_fields_are_named(self):
-        for name, value in (("i", "xyz"), ("s", "-1"), ("h", "nan"), ("m", "inf"), ("f", ""), ("c", None)):
+        for name, value in (("i", "xyz"), ("s", "-1"), ("h", "nan"), ("m", "inf"), ("f", ""), ("c", None),
+                            ("k", "x" * 129)):
             with self.subTest(name):
                 got = read(handle(**{name: value})[4:])
                 self.assertIsInstance(got, thrift.BadFields)
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -148,6 +148,33 @@
             thrift expect closed""")
 
 
+    def test_what_the_module_lost_in_a_failed_turn_is_failed_when_due(self):
+        self.play("thrift send a quick-check\n kernel expect SCHED a")
+        self.world.scorer.loop._state.policy.live.clear()
+        self.world.scorer.loop._state.policy.ends.clear()
+        self.play("""
+            wait 2700
+            thrift expect nothing a
+            wait 250
+            thrift expect a failed
+            platform expect log left unanswered""")
+
+    def test_a_kernel_that_answers_no_gauges_is_asked_once(self):
+        wire, self.world.kernel.pump = self.world.kernel.wire, lambda: None
+        self.play("wait 1000")
+        self.assertEqual(1, wire.value().count(b"SYSINFO"))
+
+    def test_a_stamp_ahead_of_the_clock_stretches_no_window(self):
+        self.play("""
+            thrift send a paid-check key=K age=-60000
+            kernel expect SCHED a
+            kernel send done a result
+            thrift expect a served result
+            wait 28000
+            thrift send b paid-check key=K body=a
+            kernel expect SCHED b""")
+
+
 class PauseTest(ScenarioCase):
     """Slices end in pauses, which the kernel confirms."""
 
