--- a/sagetrestle/net/program/loop.py
+++ b/sagetrestle/net/program/loop.py
@@ -11,13 +11,21 @@
 from sagetrestle.net.routing.reducer import next_due, reduce
 from sagetrestle.net.routing.state import State
 
+GAP_S = 0.002
+
 
 class TurnLoop:
-    """Runs a turn when something came in or is due."""
+    """Runs a turn when something came in or is due, and none within a short gap after the last.
+
+    Each turn costs the module a look at all that is held. In a burst inputs come by the hundred a second, and
+    a turn for each took over half a core, while scorers share cores. The module's own tick is 5 ms; that much
+    after every pause and every end would leave cores idle.
+    """
 
     def __init__(self, reactor: Any, clock: Clock, state: State, perform: Callable[[Effect], None],
                  failed: Callable[[str], None]) -> None:
-        self._reactor, self._clock, self._state = reactor, clock, state
+        self._reactor, self._clock, self.state = reactor, clock, state
+        self._free_at = 0.0
         self._perform, self._failed = perform, failed
         self._queue: list[Input] = []
         self._soon: Any = None
@@ -26,10 +34,10 @@
         self.now = clock.read()
 
     def post(self, item: Input) -> None:
-        """Take an input; all that one look at the sockets brings in goes into one turn."""
+        """Take an input; it is reduced at once, or after the gap with all that came in it."""
         self._queue.append(item)
         if self._soon is None:
-            self._soon = self._reactor.callLater(0, self._turn)
+            self._soon = self._reactor.callLater(max(0.0, self._free_at - self._reactor.seconds()), self._turn)
 
     def _due(self) -> None:
         self._timer = None
@@ -40,8 +48,9 @@
         self._soon = None
         items, self._queue = self._queue, []
         self.now = self._clock.read()
+        self._free_at = self._reactor.seconds() + GAP_S
         try:
-            effects = reduce(self._state, self.now, items)
+            effects = reduce(self.state, self.now, items)
         except Exception as error:  # one bad turn must not end the process and all its requests
             self._failed(f"turn failed: {error!r}")
             effects = []
@@ -54,7 +63,7 @@
 
     def _arm(self) -> None:
         """Set the one timer for what is due next."""
-        due = next_due(self._state)
+        due = next_due(self.state)
         if self._timer is not None and self._timer_due != due:
             self._timer.cancel()
             self._timer = None
