Let one failed step cost nothing else of its turn; turn down SCGI over its room with 503

Cause: reduce() in reducer.py was one block: an error over one input lost the effects of the whole turn, with answers already booked as given, which then could never be sent. Connections over the room were reset without a line in the log; a close from this side read as the other's (ConnectionEnd.LEFT was never used). Checked: an input that fails in its handler, followed by a request in the same turn, which is served; one SCGI connection too many gets 503 with Retry-After; roster and service records follow the module's health off and on again. Ruled out: catching in TurnLoop alone, which has no effects to carry out after the error. Conclusion: an error stays with its input.

--- a/sagetrestle/net/program/loop.py
+++ b/sagetrestle/net/program/loop.py
@@ -37,7 +37,8 @@
         """Take an input; it is reduced at once, or after the gap with all that came in it."""
         self._queue.append(item)
         if self._soon is None:
-            self._soon = self._reactor.callLater(max(0.0, self._free_at - self._reactor.seconds()), self._turn)
+            delay = max(0.0, self._free_at - self._reactor.seconds())
+            self._soon = self._reactor.callLater(delay, self._turn)
 
     def _due(self) -> None:
         self._timer = None
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -13,7 +13,7 @@
 
 MAX_OPEN = 64  # requests open on one connection; front ends send 32 at the most
 NOT_UP_US = 1_000_000  # how long to stay away while the kernel is not up
-NOTED = (ConnectionEnd.MALFORMED, ConnectionEnd.TOO_LARGE, ConnectionEnd.ABORTED)
+NOTED = (ConnectionEnd.MALFORMED, ConnectionEnd.TOO_LARGE)
 
 
 def opened(turn: Turn, item: inputs.ConnectionOpened) -> None:
--- a/sagetrestle/net/routing/reducer.py
+++ b/sagetrestle/net/routing/reducer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import traceback
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -42,16 +43,25 @@
     if state.exited:
         return []
     for item in items:
-        HANDLERS[type(item)](turn, item)
-    _wake(turn)
-    calls.give_up_late(turn)
-    _run_module(turn)
-    chores.run_chores(turn)
-    _run_module(turn)
+        _attempt(turn, HANDLERS[type(item)], item)
+    for step in (_wake, calls.give_up_late, _run_module, chores.run_chores, _run_module):
+        _attempt(turn, step)
     state.keys.end_turn()
     return turn.effects
 
 
+def _attempt(turn: Turn, step: Callable[..., None], *args: Any) -> None:
+    """Take one step of a turn; an error in it is noted, and the rest of the turn goes on.
+
+    Without this, one bad input would take with it the answers that others of its turn were already given.
+    """
+    try:
+        step(turn, *args)
+    except Exception as error:
+        at = traceback.extract_tb(error.__traceback__)[-1]
+        turn.log(f"step failed: {step.__name__}: {error!r} at {at.name}:{at.lineno}")
+
+
 def next_due(state: State) -> int | None:
     """Return when the next turn is due though nothing comes in; after the end none is.
 
--- a/sagetrestle/net/transport/connection.py
+++ b/sagetrestle/net/transport/connection.py
@@ -10,7 +10,7 @@
 from zope.interface import implementer
 
 from sagetrestle.net.protocol.errors import ProtocolError
-from sagetrestle.net.routing.inputs import ConnectionEnded, ConnectionOpened
+from sagetrestle.net.routing.inputs import ConnectionEnded, ConnectionOpened, RequestRejected
 from sagetrestle.net.routing.values import ConnectionEnd, ConnectionId
 from sagetrestle.net.transport.ends import Post, end_of, end_of_fault
 
@@ -28,14 +28,19 @@
     def connectionMade(self) -> None:  # noqa: D102
         self._broken: tuple[ConnectionEnd, str] | None = None
         if self.factory.full():
-            self.transport.abortConnection()
+            self.turn_down()
             return
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self.factory.admit(self)
 
+    def turn_down(self) -> None:
+        """End a connection for which there is no room; nothing was read from it."""
+        self.factory.post(RequestRejected(self.factory.name_of(0), "too many connections"))
+        self.transport.abortConnection()
+
     def dataReceived(self, data: bytes) -> None:  # noqa: D102
-        if self._broken:
+        if self._broken or not hasattr(self, "name"):
             return
         try:
             self.read(data)
@@ -54,6 +59,7 @@
 
     def close(self) -> None:
         """Close once what was written is sent."""
+        self._broken = self._broken or (ConnectionEnd.LEFT, "")
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
@@ -90,10 +96,14 @@
         """Tell whether no further connection fits: descriptors are bounded, and others need theirs."""
         return len(self.connections) >= self.most
 
+    def name_of(self, number: int) -> ConnectionId:
+        """Return a connection's name; 0 stands for one that was not admitted."""
+        return ConnectionId(self.kind, number)
+
     def admit(self, connection: C) -> None:
         """Name a new connection."""
         self._count += 1
-        connection.name = ConnectionId(self.kind, self._count)
+        connection.name = self.name_of(self._count)
         self.connections[connection.name] = connection
         self.post(ConnectionOpened(connection.name))
 
--- a/sagetrestle/net/transport/scgi_front.py
+++ b/sagetrestle/net/transport/scgi_front.py
@@ -16,7 +16,7 @@
 from sagetrestle.net.protocol import scgi
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.routing.inputs import RequestRead, RequestRejected
-from sagetrestle.net.routing.values import Answer, Request, Ticket
+from sagetrestle.net.routing.values import Answer, Refused, Request, Ticket
 from sagetrestle.net.transport.connection import Front, FrontConnection
 from sagetrestle.net.transport.ends import Post
 from sagetrestle.net.transport.scgi_mapping import (
@@ -24,6 +24,7 @@
 )
 
 MOST_CONNECTIONS = 200
+NO_ROOM_US = 1_000_000
 LINGER_S = 1.0  # how long input is still read and dropped after a response that did not wait for it
 PROBE_EVERY_S = 0.1
 TCP_CLOSED = 7  # the state in Linux's TCP_INFO after the other side reset the connection
@@ -41,6 +42,14 @@
         self._probe: LoopingCall | None = None
         super().connectionMade()
 
+    def turn_down(self) -> None:
+        """Say that there is no room, and when to come back."""
+        self.factory.post(RequestRejected(self.factory.name_of(0), "too many connections"))
+        self.transport.write(scgi.encode_response(*to_response(Refused(NO_ROOM_US), None)))
+        self.transport.loseWriteConnection()
+        self.factory.reactor.callLater(LINGER_S, self.transport.abortConnection)
+        self._responded = True
+
     def read(self, data: bytes) -> None:  # noqa: D102
         if self._responded:
             return
@@ -94,7 +103,9 @@
         Every response starts with the same bytes, so these are written now: a caller that only half-closed
         gets the start of its response early, one that closed resets the connection, and is gone.
         """
-        if self._responded or not self._request.complete:
+        if not hasattr(self, "name"):
+            self.transport.loseConnection()
+        elif self._responded or not self._request.complete:
             if not self._responded:
                 self.factory.post(RequestRejected(self.name, "the input ended within the request"))
                 self._write(fault_response(ProtocolError("the input ended within the request")))
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -273,6 +273,7 @@
         self.wire.end(error.ConnectionLost)
         self.world.wait(30)
         self.wire = self.world.accept("kernel", -1)
+        self.world.wait(20)
 
 
 class LedgerPeer:
@@ -320,10 +321,10 @@
         self.world.scorer.loop.post(StopAsked())
 
     def expect(self, what: str, *words: str) -> None:
-        """Expect ``exit``, ``running``, ``log WORDS``, or the last report ``on`` or ``off``."""
+        """Expect ``exit``, ``running``, ``log WORDS``, ``on`` or ``off`` (roster and service records)."""
         test, world = self.world.test, self.world
         if what in ("on", "off"):
-            test.assertEqual(what == "on", world.reports[-1])
+            test.assertEqual([what == "on"] * 2, [world.reports[-1], world.announced[-1]])
         elif what == "log":
             test.assertTrue(any(" ".join(words) in line for line in world.lines), world.lines)
         else:
@@ -337,6 +338,7 @@
         self.test, self.reactor = test, MemoryReactorClock()
         self.lines: list[str] = []
         self.reports: list[bool] = []
+        self.announced: list[bool] = []
         self.names: dict[str | None, str] = {}
         read = lambda: int(self.reactor.seconds() * 1e9)  # noqa: E731
         clock = Clock(lambda: read() + 1_000_000_000, lambda: read() + UNIX_MS * 1_000_000)
@@ -344,6 +346,8 @@
         logger = SimpleNamespace(info=self.lines.append)
         self.scorer = program.Scorer(self.reactor, given, logger, clock)
         self.scorer.roster = SimpleNamespace(report=self.reports.append, listen=lambda *_: None)
+        announce = SimpleNamespace(publish=self.announced.append)
+        self.scorer.dns = SimpleNamespace(authority=announce)
         self.scorer.loop.post(Started())
         self.settle()
         for front in self.scorer.fronts.values():
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -147,7 +147,7 @@
         reactor, failed, done = FakeReactor(), [], []
         clock = Clock(lambda: 10**9, lambda: 0)
         loop = TurnLoop(reactor, clock, new_state(plan()), done.append, failed.append)
-        loop.post("no input")
+        loop.post("no input")  # no handler: the look-up itself fails, outside all steps
         reactor.advance(0)
         loop.post(Started())
         reactor.advance(1)
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -1,5 +1,6 @@
 """The whole scorer in memory, by scenarios."""
 
+from sagetrestle.net.routing.inputs import RequestRead
 from tests.net.scenario import ScenarioCase
 
 FILL = """
@@ -409,6 +410,44 @@
         self.assertLess(min(users), 0)
 
 
+    def test_there_is_room_for_so_many_connections_and_no_more(self):
+        self.world.scorer.fronts["scgi"].most = 1
+        self.play("""
+            scgi send a report-view
+            kernel expect SCHED a
+            scgi send b report-view
+            scgi expect b 503 Retry-After:_1
+            platform expect log too many connections
+            kernel send done a result
+            scgi expect a 200 result""")
+
+
+class HealthTest(ScenarioCase):
+    """What the module says of its health."""
+
+    def test_roster_and_service_records_follow_slow_cores(self):
+        policy = self.world.scorer.loop.state.policy
+        self.play("platform expect on")
+        policy.asked, policy.unread = 0.1, 2_000_000.0
+        self.play("""
+            wait 1100
+            platform expect off
+            platform expect log slow cores
+            thrift send status
+            thrift expect status bad
+            wait 5500
+            platform expect on""")
+
+    def test_an_error_over_one_input_costs_the_others_nothing(self):
+        self.world.scorer.loop.post(RequestRead(None))
+        self.play("""
+            thrift send a quick-check
+            kernel expect SCHED a
+            kernel send done a result
+            thrift expect a served result
+            platform expect log step failed: request_read""")
+
+
 class DrainTest(ScenarioCase):
     """The notice to leave."""
 
