Bound the SCGI connections being turned down, and declare what every front has

Cause: a connection over the room was kept up to 1 s for its 503 (ScgiConnection.turn_down), so a flood could take all descriptors; Front in connection.py lacked send, send_health and leave, which main.py calls, and SCGI carried a stub of one. Checked: a type checker over the project (routing, protocol and program come out clean but for Twisted's own interfaces); the room scenario now sends one more, which is cut off without a word. Ruled out: Thrift, which aborts at once and keeps nothing.

--- a/sagetrestle/net/protocol/kernel.py
+++ b/sagetrestle/net/protocol/kernel.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+from collections.abc import Callable
 from typing import Any, NamedTuple, Union
 
 import orjson
@@ -86,7 +87,8 @@
     """Read one line."""
     try:
         got = orjson.loads(line)
-        return READERS.get(got["msg"], _unknown)(got)
+        read: Callable[[dict[str, Any]], Notice] = READERS.get(got["msg"], _unknown)
+        return read(got)
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
         raise ProtocolError(f"a notice that can not be read: {error}") from None
 
@@ -107,7 +109,7 @@
     return Unknown(str(got["msg"])[:40], int(got.get("serial") or 0))
 
 
-READERS = {
+READERS: dict[str, Callable[[dict[str, Any]], Notice]] = {
     "BOOTED": lambda got: Booted(str(got["how"]), float(got.get("duration") or 0)),
     "REAP": _reap,
     "IOREQ": lambda got: IoReq(int(got["serial"]), str(got["call"]), _blob(got.get("blob"))),
--- a/sagetrestle/net/transport/connection.py
+++ b/sagetrestle/net/transport/connection.py
@@ -11,7 +11,7 @@
 
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.routing.inputs import ConnectionEnded, ConnectionOpened, RequestRejected
-from sagetrestle.net.routing.values import ConnectionEnd, ConnectionId
+from sagetrestle.net.routing.values import Answer, ConnectionEnd, ConnectionId, Ticket
 from sagetrestle.net.transport.ends import Post, end_of, end_of_fault
 
 
@@ -92,6 +92,18 @@
         self.port: IListeningPort | None = None
         self._count = 0
 
+    def send(self, ticket: Ticket, answer: Answer, value: float | None) -> None:
+        """Write a final answer, if its connection still stands."""
+        raise NotImplementedError
+
+    def send_health(self, ticket: Ticket, good: bool, value: float | None) -> None:
+        """Write the answer to a health check, on wires that have them."""
+        raise NotImplementedError
+
+    def leave(self, connection: C) -> None:
+        """Have no new request come on a connection."""
+        raise NotImplementedError
+
     def full(self) -> bool:
         """Tell whether no further connection fits: descriptors are bounded, and others need theirs."""
         return len(self.connections) >= self.most
--- a/sagetrestle/net/transport/scgi_front.py
+++ b/sagetrestle/net/transport/scgi_front.py
@@ -23,7 +23,7 @@
     DEFAULT_RANK, Rejected, Response, fault_response, read_call, to_response,
 )
 
-MOST_CONNECTIONS = 200
+MOST_CONNECTIONS, MOST_TURNED_DOWN = 200, 20
 NO_ROOM_US = 1_000_000
 LINGER_S = 1.0  # how long input is still read and dropped after a response that did not wait for it
 PROBE_EVERY_S = 0.1
@@ -43,7 +43,11 @@
         super().connectionMade()
 
     def turn_down(self) -> None:
-        """Say that there is no room, and when to come back."""
+        """Say that there is no room, and when to come back; a flood is only cut off."""
+        if len(self.factory.turned_down) >= MOST_TURNED_DOWN:
+            super().turn_down()
+            return
+        self.factory.turned_down.add(self)
         self.factory.post(RequestRejected(self.factory.name_of(0), "too many connections"))
         self.transport.write(scgi.encode_response(*to_response(Refused(NO_ROOM_US), None)))
         self.transport.loseWriteConnection()
@@ -133,15 +137,20 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
         self._stop_probe()
+        self.factory.turned_down.discard(self)
         super().connectionLost(reason)
 
 
 class ScgiFront(Front[ScgiConnection]):
-    """Makes neutral requests of SCGI's, and CGI responses of the core's answers."""
+    """Makes neutral requests of SCGI's, and CGI responses of the core's answers.
+
+    SCGI has no health checks; the service's records follow the health instead.
+    """
 
     def __init__(self, reactor: Any, settings: Settings, post: Post, held_kb: float, seed: int) -> None:
         super().__init__("scgi", ScgiConnection, post, MOST_CONNECTIONS)
         self.reactor = reactor
+        self.turned_down: set[ScgiConnection] = set()
         self._settings, self._held_kb = settings, held_kb
         self._ids = random.Random(seed)
 
@@ -159,10 +168,6 @@
         if connection:
             connection.respond(to_response(answer, value))
 
-    def send_health(self, ticket: Ticket, good: bool, value: float | None) -> None:
-        """SCGI has no health checks; its service records follow the health instead."""
-        raise NotImplementedError
-
     def leave(self, connection: ScgiConnection) -> None:
         """Close a connection on which nothing was read; SCGI has no word for leaving.
 
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -76,7 +76,10 @@
             self.connected = False
             self.protocol.connectionLost(Failure(reason()))
 
-    loseConnection = loseWriteConnection = end
+    loseConnection = end
+
+    def loseWriteConnection(self) -> None:
+        """Half-close; the other side has yet to close."""
 
     def abortConnection(self) -> None:
         """End it from this side at once."""
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -1,6 +1,9 @@
 """The whole scorer in memory, by scenarios."""
 
+import unittest.mock
+
 from sagetrestle.net.routing.inputs import RequestRead
+from sagetrestle.net.transport import scgi_front
 from tests.net.scenario import ScenarioCase
 
 FILL = """
@@ -411,12 +414,16 @@
 
 
     def test_there_is_room_for_so_many_connections_and_no_more(self):
-        self.world.scorer.fronts["scgi"].most = 1
+        front = self.world.scorer.fronts["scgi"]
+        front.most = 1
+        self.enterContext(unittest.mock.patch.object(scgi_front, "MOST_TURNED_DOWN", 1))
         self.play("""
             scgi send a report-view
             kernel expect SCHED a
             scgi send b report-view
             scgi expect b 503 Retry-After:_1
+            scgi send c report-view
+            scgi expect c nothing
             platform expect log too many connections
             kernel send done a result
             scgi expect a 200 result""")
