Share no failed read, take IPv6 in brackets, and test shared reads

Cause: a read that failed kept its entry for the rest of its microsecond (KeyTable.finish), so one read in that turn was tied to it; shared reads had no test, as this site has fresh_us at 0; `[::1]:4000` was not taken. Checked: a read is shared while under way and while fresh, not after, not when it failed, and not where nothing stays fresh. Ruled out: keyed requests, which keep a failed try on purpose so that none runs again.

--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -129,6 +129,7 @@
 def _address(told: dict[str, Any], name: str, where: str = "") -> Address:
     """Read HOST:PORT, the host as a number: there is no DNS."""
     host, _, port = str(told.get(name) or "").rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
     try:
         ipaddress.ip_address(host)
     except ValueError:
--- a/sagetrestle/net/routing/keys.py
+++ b/sagetrestle/net/routing/keys.py
@@ -131,6 +131,8 @@
         if key[0] == "read":  # a read may be repeated only while what it found is fresh
             until = now + self.settings.fresh_us if result is not None else now
             state.held_until = min(state.held_until, until)
+            if result is None and state.holder == request.id:
+                state.holder = None  # one that failed has nothing to share, not even in the same turn
         self.results[request.id] = Finished(result, until + LATE_READ_US)
 
     def result(self, id: str) -> Finished | None:
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import unittest
+from dataclasses import replace
 
 from twisted.internet.task import Clock as FakeReactor
 from twisted.internet.testing import MemoryReactorClock
@@ -115,6 +116,37 @@
         self.assertEqual(({}, {}, {}), (self.table.results, self.table.keys, self.table.names))
 
 
+class SharedReadsTest(unittest.TestCase):
+    """Reads of one subject share an answer where the site lets them."""
+
+    def setUp(self):
+        self.table = KeyTable(replace(plan().settings, fresh_us=500_000))
+        self.table.arrive(self.read("a", 0), 0)
+        self.table.end_turn()
+        self.table.keep(self.read("a", 0), 6_000_000)
+
+    def read(self, id, arrived):
+        ticket = Ticket(ConnectionId("thrift", 1), 1)
+        return Request(ticket, id, 0, arrived, 1, b"", subject="acct/1")
+
+    def test_a_read_is_shared_while_it_is_under_way_and_while_it_is_fresh(self):
+        self.assertEqual("a", self.table.arrive(self.read("b", 9), 9))
+        self.table.end_turn()
+        self.table.finish(self.read("a", 0), b"found", 1_000_000)
+        self.assertEqual(b"found", self.table.result("a").result)
+        self.assertEqual("a", self.table.arrive(self.read("c", 1_400_000), 1_400_000))
+        self.table.end_turn()
+        self.assertIsNone(self.table.arrive(self.read("d", 1_600_000), 1_600_000))
+
+    def test_one_that_failed_is_not(self):
+        self.table.finish(self.read("a", 0), None, 1_000_000)
+        self.assertIsNone(self.table.arrive(self.read("b", 1_000_000), 1_000_000))
+
+    def test_nor_any_where_nothing_stays_fresh(self):
+        self.table.settings = plan().settings
+        self.assertIsNone(self.table.arrive(self.read("b", 9), 9))
+
+
 class LedgerPoolTest(unittest.TestCase):
     """Which connection carries which call."""
 
@@ -151,6 +183,7 @@
         got = self.read()
         self.assertEqual(("n1", 255, 3_200_000, None), (got.name, got.plan.seed, got.plan.stop_us, got.scgi))
         self.assertIsNone(self.read(scgi="# nothing").scgi)
+        self.assertEqual(("::1", 4000), self.read(scgi="listen = '[::1]:4000'").scgi.listen)
         self.assertIsNone(config.read_scgi(ROOT / "deploy" / "scgi.toml", "n1"))
 
     def test_the_field_is_named(self):
