--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -11,10 +11,9 @@
 from pathlib import Path
 from typing import Any
 
-from sagetrestle.net.routing.values import Plan
+from sagetrestle.net.routing.values import Address, Peers, Plan
 from sagetrestle.wirehost import read_settings
 
-Address = tuple[str, int]
 SCGI_KEYS = {"listen", "dns_listen", "domain", "instance", "held_kb"}
 
 
@@ -39,9 +38,7 @@
 
     name: str
     listen: Address
-    kernel: Address
-    roster: Address
-    ledger: Address
+    peers: Peers
     plan: Plan
     scgi: ScgiConfig | None = None
 
@@ -61,8 +58,9 @@
     if env.get("ROUTER_LISTEN"):
         told["listen"] = env["ROUTER_LISTEN"]
     return Config(
-        name, _address(told, "listen"), _address(told, "kernel"), _address(told, "roster"),
-        _address(told, "ledger"), _plan(told), read_scgi(scgi_file, name),
+        name, _address(told, "listen"),
+        Peers(_address(told, "kernel"), _address(told, "ledger"), _address(told, "roster")),
+        _plan(told), read_scgi(scgi_file, name),
     )
 
 
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -7,6 +7,9 @@
 import sys
 import time
 import traceback
+from collections.abc import Callable
+from dataclasses import fields
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -18,7 +21,7 @@
 from sagetrestle.net.program.loop import TurnLoop
 from sagetrestle.net.protocol import kernel as kernel_wire
 from sagetrestle.net.routing import effects as fx
-from sagetrestle.net.routing.inputs import Started, StopAsked
+from sagetrestle.net.routing.inputs import Reconfigured, ReloadFailed, Started, StopAsked
 from sagetrestle.net.routing.state import new_state
 from sagetrestle.net.routing.values import ConnectionId
 from sagetrestle.net.transport.connection import Front, FrontConnection
@@ -38,16 +41,17 @@
 class Scorer:
     """One scorer: the fronts, the clients, and the loop between them."""
 
-    def __init__(self, reactor: Any, config: Config, logger: Any, clock: Clock) -> None:
-        self.reactor, self.config = reactor, config
+    def __init__(self, reactor: Any, config: Config, logger: Any, clock: Clock,
+                 reread: Callable[[], Config]) -> None:
+        self.reactor, self.config, self._reread = reactor, config, reread
         self.loop = TurnLoop(reactor, clock, new_state(config.plan), self.perform, self._failed)
         self._log = log.BoundedLog(logger.info, lambda: self.loop.now)
         post = self.loop.post
         self.thrift = ThriftFront(config.plan.settings, post, clock.from_unix_ms)
         self.fronts: dict[str, Front[Any]] = {"thrift": self.thrift}
-        self.kernel = KernelLink(reactor, config.kernel, post)
-        self.ledger = LedgerPool(reactor, config.ledger, post)
-        self.roster = Roster(config.name, config.roster)
+        self.kernel = KernelLink(reactor, post)
+        self.ledger = LedgerPool(reactor, post, 48)
+        self.roster = Roster(config.name)
         self.dns: DnsResponder | None = None
         self.exit_code = 0
         if config.scgi:
@@ -60,7 +64,19 @@
     def start(self) -> None:
         """Begin with the first turn."""
         signals.on_stop(self.reactor, lambda: self.loop.post(StopAsked()))
-        self.loop.post(Started())
+        signals.on_reload(self.reactor, self.reload)
+        self.loop.post(Started(self.config.peers))
+
+    def reload(self) -> None:
+        """Read the configuration again, whole; what can not be used leaves the old one in force."""
+        try:
+            config = self._reread()
+        except ConfigError as error:
+            self.loop.post(ReloadFailed(str(error)))
+            return
+        fixed = [one.name for one in fields(Config) if one.name != "peers"
+                 and getattr(config, one.name) != getattr(self.config, one.name)]
+        self.loop.post(Reconfigured(config.peers, tuple(fixed)))
 
     def perform(self, effect: fx.Effect) -> None:
         """Carry out one effect."""
@@ -90,8 +106,12 @@
                 self._with_connection(name, self.fronts[name.front].leave)
             case fx.CloseConnection(name):
                 self._with_connection(name, FrontConnection.close)
-            case fx.ConnectKernel():
-                self.kernel.connect()
+            case fx.ConnectKernel(number, address):
+                self.kernel.connect(number, address)
+            case fx.UseLedger(address):
+                self.ledger.use(address)
+            case fx.UseRoster(address):
+                self.roster.use(address)
             case fx.OpenKernel(serial):
                 self.kernel.write(kernel_wire.encode_open(serial))
             case fx.Listen():
@@ -161,15 +181,17 @@
 
 def main() -> int:
     """Run one scorer until it is told to leave."""
+    signals.ignore_reload()
     logger = log.set_up()
+    reread = partial(read_config, os.environ, SCGI_FILE)
     try:
-        config = read_config(os.environ, SCGI_FILE)
+        config = reread()
     except ConfigError as error:
         print(f"sagetrestle: {error}", file=sys.stderr)
         return 2
     from twisted.internet import reactor
     reactor.seconds = time.monotonic  # type: ignore[attr-defined]  # timers must not follow steps of Unix time
-    scorer = Scorer(reactor, config, logger, Clock())
+    scorer = Scorer(reactor, config, logger, Clock(), reread)
     scorer.start()
     gc.freeze()
     reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
--- a/sagetrestle/net/protocol/ledger.py
+++ b/sagetrestle/net/protocol/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from sagetrestle.net.protocol.errors import Fault, ProtocolError
@@ -10,7 +11,7 @@
 MAX_LINE = 256
 MAX_BODY = 64 * 1024
 VERDICTS = ("posted", "queue_full", "error", "expired", "moot")
-HEAD = re.compile(rb"([0-9a-f]{16}) ([a-z_]{1,20})(?: ([0-9]{1,9}))?")
+HEAD = re.compile(rb"([0-9a-f]{16}) ([a-z_]{1,20})(?: ([0-9]{1,12}))?")
 
 
 class Reply(NamedTuple):
@@ -22,18 +23,24 @@
 
 
 class ReplyDecoder:
-    """Read the ledger's replies from a stream, holding at most one of them and what came with its end."""
+    """Read the ledger's replies from a stream, holding at most one of them and what came with its end.
+
+    Replies are given as they are read, so that those before damage still count.
+    """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[Reply]:
-        """Take more bytes and return the replies now complete."""
+    @property
+    def partial(self) -> bool:
+        """Tell whether a reply has begun and not ended."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> Iterator[Reply]:
+        """Take more bytes and give the replies now complete."""
         self._buffer += data
-        replies = []
         while (reply := self._next()) is not None:
-            replies.append(reply)
-        return replies
+            yield reply
 
     def _next(self) -> Reply | None:
         at = self._buffer.find(b"\r\n")
--- a/sagetrestle/net/routing/chores.py
+++ b/sagetrestle/net/routing/chores.py
@@ -5,17 +5,17 @@
 from collections.abc import Callable
 
 from sagetrestle.interface import Drain, Gone
-from sagetrestle.net.routing import inputs
+from sagetrestle.net.routing import inputs, runs
 from sagetrestle.net.routing.actions import set_health
 from sagetrestle.net.routing.effects import (
-    AskGauges, AskToLeave, CloseConnection, ConnectKernel, Exit, Listen, Report, StopListening,
+    AskGauges, AskToLeave, CloseConnection, Exit, Listen, Report, StopListening, UseLedger, UseRoster,
 )
 from sagetrestle.net.routing.state import Drain as DrainState
 from sagetrestle.net.routing.state import Link
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import Failed
 
-REPORT_EVERY_US = 800_000  # the roster drops a server 3 s after its last report
+REPORT_EVERY_US = 250_000  # the roster drops a server 3 s after its last report, and reports are lost
 GAUGES_EVERY_US = 100_000  # the module's timers take the last gauges and never wait for newer ones
 IDLE_EVERY_US = 200_000
 OVERDUE_EVERY_US = 100_000  # the rules allow 110 ms past the due time
@@ -25,13 +25,34 @@
 CLOSE_SHARE = 0.6  # of the notice: with a short one the fronts close before the grace is over
 
 
-def started(turn: Turn, _: inputs.Started) -> None:
+def started(turn: Turn, item: inputs.Started) -> None:
     """Open the fronts, report, and reach for the kernel."""
-    turn.effects += [Listen(), ConnectKernel()]
-    turn.state.kernel.link = Link.CONNECTING
+    turn.state.peers = item.peers
+    turn.effects += [Listen(), UseLedger(item.peers.ledger), UseRoster(item.peers.roster)]
+    runs.connect(turn)
     turn.state.chores.update(report=turn.now, gauges=turn.now, overdue=turn.now, idle=turn.now)
 
 
+def reconfigured(turn: Turn, item: inputs.Reconfigured) -> None:
+    """Move to the addresses that are new: at once for all that is new, while what is in hand may finish."""
+    old, turn.state.peers = turn.state.peers, item.peers
+    if item.peers.ledger != old.ledger:
+        turn.effects.append(UseLedger(item.peers.ledger))
+    if item.peers.roster != old.roster:
+        turn.effects += [UseRoster(item.peers.roster), Report(turn.state.healthy)]
+    if item.peers.kernel != old.kernel:
+        runs.move(turn)
+    moved = [name for name, now, was in zip(old._fields, item.peers, old, strict=True) if now != was]
+    turn.log(f"configuration read again: moved: {', '.join(moved) or 'nothing'}")
+    if item.fixed:
+        turn.log(f"configuration read again: only a restart changes: {', '.join(item.fixed)}")
+
+
+def reload_failed(turn: Turn, item: inputs.ReloadFailed) -> None:
+    """Note that the old configuration stays in force."""
+    turn.log(f"configuration not taken, the old one holds: {item.why}")
+
+
 def stop_asked(turn: Turn, _: inputs.StopAsked) -> None:
     """Begin to leave: off the roster at once; the module answers what is in hand."""
     state = turn.state
@@ -49,10 +70,9 @@
 
 
 def _connect(turn: Turn) -> None:
-    if turn.state.kernel.link is Link.DOWN:
-        turn.state.kernel.link = Link.CONNECTING
-        turn.effects.append(ConnectKernel())
     turn.state.chores.pop("kernel")
+    if turn.state.kernel.link is Link.DOWN:
+        runs.connect(turn)
 
 
 def _report(turn: Turn) -> None:
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple, Union
 
-from sagetrestle.net.routing.values import Answer, CommandKind, ConnectionId, Ticket
+from sagetrestle.net.routing.values import Address, Answer, CommandKind, ConnectionId, Ticket
 
 
 class Listen(NamedTuple):
@@ -44,7 +44,22 @@
 
 
 class ConnectKernel(NamedTuple):
-    """Set up the link to the kernel."""
+    """Set up the link to the kernel with this number; it takes the place of the one before."""
+
+    link: int
+    address: Address
+
+
+class UseLedger(NamedTuple):
+    """Make new calls at this address; calls in hand may finish where they are."""
+
+    address: Address
+
+
+class UseRoster(NamedTuple):
+    """Send reports to this address."""
+
+    address: Address
 
 
 class OpenKernel(NamedTuple):
@@ -53,10 +68,6 @@
     serial: int
 
 
-class DropKernel(NamedTuple):
-    """Cut the link to the kernel off, to set it up anew."""
-
-
 class CommandRun(NamedTuple):
     """Tell the kernel what to do with a run; ``body`` is the request's or the reply's."""
 
@@ -110,5 +121,5 @@
 
 Effect = Union[
     Listen, StopListening, SendAnswer, SendHealth, AskToLeave, CloseConnection, ConnectKernel, OpenKernel,
-    DropKernel, CommandRun, AskGauges, PostCall, AbandonCall, Report, Announce, WriteLog, Exit,
+    UseLedger, UseRoster, CommandRun, AskGauges, PostCall, AbandonCall, Report, Announce, WriteLog, Exit,
 ]
--- a/sagetrestle/net/routing/inputs.py
+++ b/sagetrestle/net/routing/inputs.py
@@ -5,12 +5,27 @@
 from typing import NamedTuple, Union
 
 from sagetrestle.net.routing.values import (
-    CallVerdict, CommandKind, ConnectionEnd, ConnectionId, Request, RunEnd, Ticket,
+    CallVerdict, CommandKind, ConnectionEnd, ConnectionId, Peers, Request, RunEnd, Ticket,
 )
 
 
 class Started(NamedTuple):
-    """The program is up."""
+    """The program is up, and reaches the others at these addresses."""
+
+    peers: Peers
+
+
+class Reconfigured(NamedTuple):
+    """A new configuration was read and holds; ``fixed`` names what in it takes a restart to change."""
+
+    peers: Peers
+    fixed: tuple[str, ...] = ()
+
+
+class ReloadFailed(NamedTuple):
+    """A new configuration can not be used; the old one holds."""
+
+    why: str
 
 
 class StopAsked(NamedTuple):
@@ -57,12 +72,15 @@
 
 
 class KernelConnected(NamedTuple):
-    """The link to the kernel stands, with nothing said on it yet."""
+    """The link to the kernel with this number stands, with nothing said on it yet."""
+
+    link: int
 
 
 class KernelLost(NamedTuple):
-    """The link to the kernel is over, or could not be set up."""
+    """The link to the kernel with this number is over, or could not be set up."""
 
+    link: int
     end: ConnectionEnd
     detail: str = ""
 
@@ -138,8 +156,7 @@
 
 
 Input = Union[
-    Started, StopAsked, ConnectionOpened, ConnectionEnded, RequestRead, RequestRejected, Withdrawn,
-    HealthAsked, KernelConnected, KernelLost, KernelBooted, RunOver, RunCalls, GaugesRead, CommandRejected,
-    KernelRemark,
-    CallAnswered, CallBroken, LedgerLost,
+    Started, Reconfigured, ReloadFailed, StopAsked, ConnectionOpened, ConnectionEnded, RequestRead,
+    RequestRejected, Withdrawn, HealthAsked, KernelConnected, KernelLost, KernelBooted, RunOver, RunCalls,
+    GaugesRead, CommandRejected, KernelRemark, CallAnswered, CallBroken, LedgerLost,
 ]
--- a/sagetrestle/net/routing/reducer.py
+++ b/sagetrestle/net/routing/reducer.py
@@ -16,6 +16,8 @@
 
 HANDLERS: dict[type, Callable[[Turn, Any], None]] = {
     inputs.Started: chores.started,
+    inputs.Reconfigured: chores.reconfigured,
+    inputs.ReloadFailed: chores.reload_failed,
     inputs.StopAsked: chores.stop_asked,
     inputs.ConnectionOpened: fronts.opened,
     inputs.ConnectionEnded: fronts.ended,
--- a/sagetrestle/net/routing/runs.py
+++ b/sagetrestle/net/routing/runs.py
@@ -8,7 +8,7 @@
 from sagetrestle.logic import Policy
 from sagetrestle.net.routing import inputs
 from sagetrestle.net.routing.actions import carry_out
-from sagetrestle.net.routing.effects import AbandonCall, AskGauges, OpenKernel
+from sagetrestle.net.routing.effects import AbandonCall, AskGauges, ConnectKernel, OpenKernel
 from sagetrestle.net.routing.outcomes import run_outcome
 from sagetrestle.net.routing.state import Entry, Link, Phase
 from sagetrestle.net.routing.turn import Turn
@@ -18,8 +18,28 @@
 IN_DOUBT_US = 2_000_000  # what was written longer before a link's end was read at the other side
 
 
-def connected(turn: Turn, _: inputs.KernelConnected) -> None:
+def connect(turn: Turn) -> None:
+    """Set up the next link."""
+    kernel = turn.state.kernel
+    kernel.number += 1
+    kernel.link, kernel.asked = Link.CONNECTING, False
+    turn.effects.append(ConnectKernel(kernel.number, turn.state.peers.kernel))
+
+
+def move(turn: Turn) -> None:
+    """Leave the link for one at the kernel's new address; what was written last may be lost with it."""
+    kernel = turn.state.kernel
+    if kernel.link is Link.UP:
+        kernel.lost_at = turn.now
+    kernel.backoff_us = 0
+    turn.state.chores.pop("kernel", None)
+    connect(turn)
+
+
+def connected(turn: Turn, item: inputs.KernelConnected) -> None:
     """Say which notice was read last."""
+    if item.link != turn.state.kernel.number:
+        return
     turn.state.kernel.link = Link.OPENED
     turn.effects.append(OpenKernel(turn.state.kernel.serial))
 
@@ -27,6 +47,8 @@
 def lost(turn: Turn, item: inputs.KernelLost) -> None:
     """Set the link up anew after a pause; runs go on meanwhile."""
     kernel = turn.state.kernel
+    if item.link != kernel.number:  # the end of one that was left for another changes nothing
+        return
     if kernel.link in (Link.UP, Link.SYNCING) or item.end is ConnectionEnd.MALFORMED:
         turn.log(f"kernel link lost: {item.end.value}{': ' if item.detail else ''}{item.detail}")
     if kernel.link is Link.UP:
@@ -39,6 +61,8 @@
 def booted(turn: Turn, item: inputs.KernelBooted) -> None:
     """Start the module with the first word; ask for the gauges, whose answer follows what was missed."""
     state = turn.state
+    if state.kernel.link is not Link.OPENED:
+        return
     if state.policy is None:
         settings = replace(state.plan.settings, cold=item.cold)
         state.policy = Policy(settings, state.plan.seed)
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -9,7 +9,7 @@
 from sagetrestle.logic import Policy
 from sagetrestle.net.routing.effects import CommandRun
 from sagetrestle.net.routing.keys import KeyTable
-from sagetrestle.net.routing.values import ConnectionId, Plan, Request, Ticket
+from sagetrestle.net.routing.values import ConnectionId, Peers, Plan, Request, Ticket
 
 
 class Phase(Enum):
@@ -72,6 +72,7 @@
     """The link to the kernel."""
 
     link: Link = Link.DOWN
+    number: int = 0  # of the link that is set up or stands
     serial: int = 0
     lost_at: int = 0
     backoff_us: int = 0
@@ -95,6 +96,7 @@
 
     plan: Plan
     keys: KeyTable
+    peers: Peers | None = None
     policy: Policy | None = None
     entries: dict[str, Entry] = field(default_factory=dict)
     tickets: dict[Ticket, str] = field(default_factory=dict)
--- a/sagetrestle/net/routing/values.py
+++ b/sagetrestle/net/routing/values.py
@@ -9,6 +9,17 @@
 from sagetrestle.interface import Settings
 
 
+Address = tuple[str, int]
+
+
+class Peers(NamedTuple):
+    """Where the parties behind the server are reached; a new configuration may move them."""
+
+    kernel: Address
+    ledger: Address
+    roster: Address
+
+
 class ConnectionId(NamedTuple):
     """One connection of one front."""
 
--- a/sagetrestle/net/transport/ends.py
+++ b/sagetrestle/net/transport/ends.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from twisted.internet import error
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.python.failure import Failure
 
 from sagetrestle.net.protocol.errors import Fault, ProtocolError
@@ -13,6 +15,12 @@
 
 Post = Callable[[Input], None]
 
+
+def endpoint_at(reactor: Any, address: tuple[str, int], timeout_s: float) -> Any:
+    """Return the way to a peer's address, of either family."""
+    kind = TCP6ClientEndpoint if ":" in address[0] else TCP4ClientEndpoint
+    return kind(reactor, *address, timeout=timeout_s)
+
 REASONS: tuple[tuple[type[BaseException], ConnectionEnd], ...] = (
     (error.ConnectionRefusedError, ConnectionEnd.REFUSED),
     (error.TimeoutError, ConnectionEnd.CONNECT_TIMED_OUT),
--- a/sagetrestle/net/transport/kernel_link.py
+++ b/sagetrestle/net/transport/kernel_link.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -13,7 +13,7 @@
 from sagetrestle.net.routing import inputs
 from sagetrestle.net.routing.effects import CommandRun
 from sagetrestle.net.routing.values import CommandKind, ConnectionEnd, RunEnd
-from sagetrestle.net.transport.ends import Post, end_of, end_of_fault
+from sagetrestle.net.transport.ends import Post, end_of, end_of_fault, endpoint_at
 
 CONNECT_TIMEOUT_S = 2
 WORDS = {"SCHED": CommandKind.START, "PREEMPT": CommandKind.PAUSE, "RESCHED": CommandKind.RESUME,
@@ -55,17 +55,18 @@
 class KernelConnection(Protocol):
     """One link; a newer one takes its place."""
 
-    def __init__(self, post: Post) -> None:
-        self._post = post
+    def __init__(self, number: int, post: Post) -> None:
+        self._number, self._post = number, post
+        self._left = False
         self._notices = kernel.NoticeDecoder()
         self._broken: tuple[ConnectionEnd, str] | None = None
 
     def connectionMade(self) -> None:  # noqa: D102
         self.transport.setTcpNoDelay(True)
-        self._post(inputs.KernelConnected())
+        self._post(inputs.KernelConnected(self._number))
 
     def dataReceived(self, data: bytes) -> None:  # noqa: D102
-        if self._broken:
+        if self._broken or self._left:
             return
         try:
             for notice in self._notices.feed(data):
@@ -75,28 +76,40 @@
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
-        self._post(inputs.KernelLost(*(self._broken or (end_of(reason), ""))))
+        self._post(inputs.KernelLost(self._number, *(self._broken or (end_of(reason), ""))))
+
+    def leave(self) -> None:
+        """Take nothing more from a link that another takes the place of; what was written is still sent."""
+        self._left = True
+        self.transport.loseConnection()
 
 
 class KernelLink:
     """Sets the link up when asked and writes to the one that stands."""
 
-    def __init__(self, reactor: Any, address: tuple[str, int], post: Post) -> None:
-        self._endpoint = TCP4ClientEndpoint(reactor, *address, timeout=CONNECT_TIMEOUT_S)
-        self._post = post
+    def __init__(self, reactor: Any, post: Post) -> None:
+        self._reactor, self._post = reactor, post
+        self._trying: Deferred[Any] | None = None
         self._standing: KernelConnection | None = None
 
-    def connect(self) -> None:
-        """Set the link up; how that ends comes as an input."""
-        factory = Factory.forProtocol(lambda: KernelConnection(self._post))  # type: ignore[arg-type]
+    def connect(self, number: int, address: tuple[str, int]) -> None:
+        """Set a link up in place of the one before; how that ends comes as an input."""
+        if self._trying is not None:
+            self._trying.cancel()
+        if self._standing is not None:
+            self._standing.leave()
+            self._standing = None
+        factory = Factory.forProtocol(lambda: KernelConnection(number, self._post))  # type: ignore[arg-type]
         factory.noisy = False
-        self._endpoint.connect(factory).addCallbacks(self._connected, self._failed)
+        endpoint = endpoint_at(self._reactor, address, CONNECT_TIMEOUT_S)
+        self._trying = endpoint.connect(factory)
+        self._trying.addCallbacks(self._connected, lambda reason: self._failed(number, reason))
 
     def _connected(self, connection: KernelConnection) -> None:
-        self._standing = connection
+        self._trying, self._standing = None, connection
 
-    def _failed(self, reason: Failure) -> None:
-        self._post(inputs.KernelLost(end_of(reason)))
+    def _failed(self, number: int, reason: Failure) -> None:
+        self._post(inputs.KernelLost(number, end_of(reason)))
 
     def write(self, data: bytes) -> None:
         """Write to the link; what is written to one that has just ended is written again after the next."""
--- a/sagetrestle/net/transport/roster.py
+++ b/sagetrestle/net/transport/roster.py
@@ -14,8 +14,13 @@
 
     noisy = False
 
-    def __init__(self, name: str, address: tuple[str, int]) -> None:
-        self._name, self._address = name, address
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._address: tuple[str, int] | None = None
+
+    def use(self, address: tuple[str, int]) -> None:
+        """Send reports to this address from now on."""
+        self._address = address
 
     def listen(self, reactor: Any, host: str) -> None:
         """Take a socket to send from."""
@@ -23,5 +28,5 @@
 
     def report(self, on: bool) -> None:
         """Send one report; a socket that can not send now does at the next."""
-        if self.transport is not None:
+        if self.transport is not None and self._address is not None:
             self.transport.write(encode_report(self._name, on), self._address)
--- a/tests/net/test_loopback.py
+++ b/tests/net/test_loopback.py
@@ -1,8 +1,11 @@
 """The scorer as a process, on loopback sockets, among stand-ins."""
 
 import asyncio
+import json
 import random
+import signal
 from collections import Counter
+from pathlib import Path
 
 from twisted.names import dns
 
@@ -53,6 +56,26 @@
             self.scgi_answers.append(await ask_scgi(self.ports["scgi"], cls, body, **headers))
 
 
+class ReloadTest(LoopbackCase):
+    """SIGHUP on a real process."""
+
+    async def test_it_moves_to_a_new_kernel_address_and_serves_on(self):
+        """By default SIGHUP ends a process; good or bad, a reload must not."""
+        second = await asyncio.start_server(self.kernel.serve, "127.0.0.1", 0)
+        self.addCleanup(second.close)
+        for text, says in (("{", "the old one holds"), (json.dumps(self.told | {
+                "kernel": f"127.0.0.1:{second.sockets[0].getsockname()[1]}"}), "moved: kernel")):
+            (Path(self.folder) / "config.json").write_text(text)
+            self.process.send_signal(signal.SIGHUP)
+            while not self.log_has(says):
+                await asyncio.sleep(0.01)
+        front = await FrontEnd(self.ports["thrift"]).connect()
+        number = await front.ask(call_id("a"), "quick-check", b"x")
+        self.assertEqual(1, len(front.answers[number]))
+        self.assertEqual(1, len(self.kernel.starts))
+        front.writer.close()
+
+
 class ScgiSocketTest(LoopbackCase):
     """What only real sockets show of SCGI."""
 
