Derive all bounds from the limits, and cut or pace clients that send no use

Checked and ruled out: CPU (8 s in 25 s, at most 0.59 of a core in a second) and memory (28 of 80 MB) were not short.

Changed: program/limits.py derives every bound from limits.sockets and limits.memory_mb, with what the kernel, the ledger, the roster and a new configuration need set aside. In a full front the oldest connection that never sent a valid request goes first. Bad fields and numbers are errors; what the kernel does not know, or is an open id, another body for a key, or a stamp ahead fails and has its connection read seldom.

--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from sagetrestle.net.program.limits import LEAST, Limits, derive
 from sagetrestle.net.routing.values import Address, Peers, Plan
 from sagetrestle.wirehost import read_settings
 
@@ -57,11 +58,9 @@
     name = env.get("ROUTER_NAME") or _text(told, "name")
     if env.get("ROUTER_LISTEN"):
         told["listen"] = env["ROUTER_LISTEN"]
-    return Config(
-        name, _address(told, "listen"),
-        Peers(_address(told, "kernel"), _address(told, "ledger"), _address(told, "roster")),
-        _plan(told), read_scgi(scgi_file, name),
-    )
+    peers = Peers(_address(told, "kernel"), _address(told, "ledger"), _address(told, "roster"))
+    scgi = read_scgi(scgi_file, name)
+    return Config(name, _address(told, "listen"), peers, _plan(told, scgi), scgi)
 
 
 def read_scgi(path: Path, name: str) -> ScgiConfig | None:
@@ -96,7 +95,19 @@
     return host, port
 
 
-def _plan(told: dict[str, Any]) -> Plan:
+def _limits(told: dict[str, Any]) -> Limits:
+    """Read what the platform lets the process have."""
+    given = told.get("limits")
+    if not isinstance(given, dict):
+        raise ConfigError("limits: missing or not an object")
+    for name, least in LEAST._asdict().items():
+        value = given.get(name)
+        if not isinstance(value, (int, float)) or isinstance(value, bool) or not least <= value < 1e9:
+            raise ConfigError(f"limits: {name}: missing or not a number of {least:g} or more")
+    return Limits(int(given["sockets"]), float(given["memory_mb"]))
+
+
+def _plan(told: dict[str, Any], scgi: ScgiConfig | None) -> Plan:
     params = told.get("settings")
     if not isinstance(params, dict):
         raise ConfigError("settings: missing or not an object")
@@ -114,7 +125,8 @@
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"settings: {error}") from None
     gauges = (params.get("extra") or {}).get("gauges") or ()
-    return Plan(settings, int(stop_ms * 1000), tuple(str(one) for one in gauges), seed)
+    bounds = derive(_limits(told), scgi is not None, scgi is not None and scgi.dns_listen is not None)
+    return Plan(settings, int(stop_ms * 1000), bounds, tuple(str(one) for one in gauges), seed)
 
 
 def _text(told: dict[str, Any], name: str) -> str:
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -47,10 +47,12 @@
         self.loop = TurnLoop(reactor, clock, new_state(config.plan), self.perform, self._failed)
         self._log = log.BoundedLog(logger.info, lambda: self.loop.now)
         post = self.loop.post
-        self.thrift = ThriftFront(config.plan.settings, post, clock.from_unix_ms)
+        bounds = config.plan.bounds
+        self.thrift = ThriftFront(
+            reactor, config.plan.settings, post, bounds.connections["thrift"], clock.from_unix_ms)
         self.fronts: dict[str, Front[Any]] = {"thrift": self.thrift}
         self.kernel = KernelLink(reactor, post)
-        self.ledger = LedgerPool(reactor, post, 48)
+        self.ledger = LedgerPool(reactor, post, bounds.calls)
         self.roster = Roster(config.name)
         self.dns: DnsResponder | None = None
         self.exit_code = 0
@@ -58,8 +60,9 @@
             self._add_scgi(config.scgi, post)
 
     def _add_scgi(self, scgi: ScgiConfig, post: Post) -> None:
-        settings = self.config.plan.settings
-        self.fronts["scgi"] = ScgiFront(self.reactor, settings, post, scgi.held_kb, self.config.plan.seed)
+        plan = self.config.plan
+        self.fronts["scgi"] = ScgiFront(
+            self.reactor, plan.settings, post, plan.bounds, scgi.held_kb, plan.seed)
 
     def start(self) -> None:
         """Begin with the first turn."""
@@ -104,6 +107,8 @@
         match effect:
             case fx.AskToLeave(name):
                 self._with_connection(name, self.fronts[name.front].leave)
+            case fx.Doubt(name):
+                self._with_connection(name, self.fronts[name.front].doubt)
             case fx.CloseConnection(name):
                 self._with_connection(name, FrontConnection.close)
             case fx.ConnectKernel(number, address):
@@ -149,7 +154,8 @@
         address = (host, self._open(front, host, port))
         if scgi.dns_listen:
             names = [cls.name for cls in self.config.plan.settings.classes]
-            self.dns = DnsResponder(ServiceAuthority(scgi.domain, scgi.instance, address, names))
+            self.dns = DnsResponder(
+                ServiceAuthority(scgi.domain, scgi.instance, address, names), self.config.plan.bounds.dns)
             self._listens("dns", scgi.dns_listen[0], self.dns.listen(self.reactor, scgi.dns_listen))
 
     def _open(self, front: Front[Any], host: str, port: int) -> int:
--- a/sagetrestle/net/protocol/thrift.py
+++ b/sagetrestle/net/protocol/thrift.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-import math
 import re
 import struct
+from collections.abc import Iterator
 from enum import IntEnum
 from typing import Any, NamedTuple
 
@@ -17,6 +17,8 @@
 MAX_BODY = 2 * 1024
 MAX_FRAME = 16 * 1024  # a body, ten short fields and room for fields of newer front ends
 MAX_DEPTH = 8
+# What the fields may say, each from the first to under the second: above that no front end could mean it.
+RANKS, BOOKED_KB, HINTS_MS, CALLERS = (0.0, 1.0), (0.0, 2000.0), (0.0, 1e6), 2**31
 VERSION = 0x80010000
 
 
@@ -57,20 +59,33 @@
         self._longest = longest
         self._buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """Take more bytes and return the frames now complete."""
+    @property
+    def partial(self) -> bool:
+        """Tell whether bytes wait that are not yet given as a frame."""
+        return bool(self._buffer)
+
+    def push(self, data: bytes) -> None:
+        """Take more bytes."""
         self._buffer += data
-        frames, at = [], 0
-        while len(self._buffer) - at >= 4:
-            (size,) = struct.unpack_from(">I", self._buffer, at)
-            if size > self._longest:
-                raise ProtocolError(f"a frame of {size} bytes", Fault.TOO_LARGE)
-            if len(self._buffer) - at - 4 < size:
-                break
-            frames.append(bytes(self._buffer[at + 4:at + 4 + size]))
-            at += 4 + size
-        del self._buffer[:at]
-        return frames
+
+    def next(self) -> bytes | None:
+        """Return the next frame, if it is complete."""
+        if len(self._buffer) < 4:
+            return None
+        (size,) = struct.unpack_from(">I", self._buffer)
+        if size > self._longest:
+            raise ProtocolError(f"a frame of {size} bytes", Fault.TOO_LARGE)
+        if len(self._buffer) - 4 < size:
+            return None
+        frame = bytes(self._buffer[4:4 + size])
+        del self._buffer[:4 + size]
+        return frame
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Take more bytes and give the frames now complete."""
+        self.push(data)
+        while (frame := self.next()) is not None:
+            yield frame
 
 
 class Reader:
@@ -239,16 +254,17 @@
 
 def _handle(message: Message) -> Handle | BadFields:
     """Read a request's fields; a body over the bound is damage, a bad field is answered."""
-    body = message.field(2, Type.STRING) or b""
+    body = message.field(2, Type.STRING)
+    if body is None:
+        return BadFields(message.seqid, "no body")
     if len(body) > MAX_BODY:
         raise ProtocolError(f"a body of {len(body)} bytes", Fault.TOO_LARGE)
     fields = {_text(key): _text(value) for key, value in (message.field(1, Type.MAP) or {}).items()}
     try:
         return Handle(
             message.seqid, fields["c"], _matching(fields, "i", r"[0-9a-f]{16}"), _whole(fields, "s"),
-            _whole(fields, "f"), fields.get("r", "") == "1", _number(fields, "h", 0.0),
-            _number(fields, "m", 0.0), _number(fields, "p", 0.0), _short(fields, "k"), _short(fields, "o"),
-            body,
+            _caller(fields), _flag(fields, "r"), _number(fields, "h", HINTS_MS) if "h" in fields else 0.0,
+            _booked(fields), _number(fields, "p", RANKS), _short(fields, "k"), _short(fields, "o"), body,
         )
     except KeyError as error:
         return BadFields(message.seqid, f"field {error} is missing")
@@ -264,20 +280,37 @@
 
 def _short(fields: dict[str, str], name: str) -> str | None:
     """Return a name that is kept for long, and so must be short."""
-    return _matching(fields, name, r".{1,128}") if fields.get(name) else None
+    return _matching(fields, name, r"[!-~]{1,128}") if name in fields else None
+
+
+def _flag(fields: dict[str, str], name: str) -> bool:
+    return name in fields and _matching(fields, name, "[01]") == "1"
+
+
+def _caller(fields: dict[str, str]) -> int:
+    caller = _whole(fields, "f")
+    if caller >= CALLERS:
+        raise ValueError("field 'f' is out of range")
+    return caller
+
+
+def _booked(fields: dict[str, str]) -> float:
+    """Return the memory booked, which is above 0."""
+    booked = _number(fields, "m", BOOKED_KB)
+    if booked == 0.0:
+        raise ValueError("field 'm' is out of range")
+    return booked
 
 
 def _whole(fields: dict[str, str], name: str) -> int:
     return int(_matching(fields, name, r"[0-9]{1,18}"))
 
 
-def _number(fields: dict[str, str], name: str, default: float) -> float:
-    """Return a finite number of 0 or more; ``float`` alone would take 'nan' and 'inf'."""
-    if name not in fields:
-        return default
+def _number(fields: dict[str, str], name: str, span: tuple[float, float]) -> float:
+    """Return a number within its span; ``float`` alone would take 'nan' and 'inf'."""
     value = float(_matching(fields, name, r"[0-9]{1,15}(\.[0-9]{1,15})?([eE][-+]?[0-9]{1,2})?"))
-    if not math.isfinite(value):
-        raise ValueError(f"field {name!r} is not of its form")
+    if not span[0] <= value < span[1]:
+        raise ValueError(f"field {name!r} is out of range")
     return value
 
 
--- a/sagetrestle/net/routing/chores.py
+++ b/sagetrestle/net/routing/chores.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 
 from sagetrestle.interface import Drain, Gone
@@ -20,6 +21,8 @@
 IDLE_EVERY_US = 200_000
 OVERDUE_EVERY_US = 100_000  # the rules allow 110 ms past the due time
 LEAVING_US = 1_000_000  # how long the other side has to close a connection that is left
+SILENT_US = 1_500_000  # how long a connection may bring no valid request at all
+CROWDED_SHARE, CROWDED_IDLE_US = 0.6, 2_000_000  # of a front's room; what is idle longer must leave then
 DRAIN_EVERY_US = 20_000
 EXIT_BEFORE_US = 120_000  # the process ends so long before it would be stopped
 CLOSE_SHARE = 0.6  # of the notice: with a short one the fronts close before the grace is over
@@ -104,14 +107,24 @@
 
 
 def _close_idle(turn: Turn) -> None:
-    """Ask the other side to close what was idle too long; close it here if that is not done."""
+    """Ask the other side to close what was idle too long; close it here if that is not done.
+
+    What never sent a valid request is closed without asking, but only in the second look: after a standstill
+    of this process its first request may wait unread.
+    """
+    fronts = Counter(name.front for name in turn.state.connections)
+    rooms = turn.state.plan.bounds.connections
     for name, one in turn.state.connections.items():
         if one.open:
             continue
-        if one.leaving_at is None and turn.now - one.used_at >= turn.state.idle_us:
+        crowded = fronts[name.front] > CROWDED_SHARE * rooms[name.front]
+        longest = min(turn.state.idle_us, CROWDED_IDLE_US) if crowded else turn.state.idle_us
+        longest = longest if one.proven else SILENT_US
+        if one.leaving_at is None and turn.now - one.used_at >= longest:
             one.leaving_at = turn.now
-            turn.effects.append(AskToLeave(name))
-        elif one.leaving_at is not None and turn.now - one.leaving_at >= LEAVING_US:
+            if one.proven:
+                turn.effects.append(AskToLeave(name))
+        elif one.leaving_at is not None and turn.now - one.leaving_at >= (LEAVING_US if one.proven else 1):
             turn.effects.append(CloseConnection(name))
     turn.state.keys.sweep(turn.now)
     turn.state.chores["idle"] = turn.now + IDLE_EVERY_US
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -43,6 +43,12 @@
     connection: ConnectionId
 
 
+class Doubt(NamedTuple):
+    """What came on a connection was of no use: look at it seldom from now on."""
+
+    connection: ConnectionId
+
+
 class ConnectKernel(NamedTuple):
     """Set up the link to the kernel with this number; it takes the place of the one before."""
 
@@ -120,6 +126,7 @@
 
 
 Effect = Union[
-    Listen, StopListening, SendAnswer, SendHealth, AskToLeave, CloseConnection, ConnectKernel, OpenKernel,
-    UseLedger, UseRoster, CommandRun, AskGauges, PostCall, AbandonCall, Report, Announce, WriteLog, Exit,
+    Listen, StopListening, SendAnswer, SendHealth, AskToLeave, CloseConnection, Doubt, ConnectKernel,
+    OpenKernel, UseLedger, UseRoster, CommandRun, AskGauges, PostCall, AbandonCall, Report, Announce,
+    WriteLog, Exit,
 ]
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -4,21 +4,32 @@
 
 from sagetrestle.interface import Arrived, Gone
 from sagetrestle.net.routing import inputs
-from sagetrestle.net.routing.effects import CloseConnection, SendAnswer, SendHealth
+from sagetrestle.net.routing.effects import CloseConnection, Doubt, SendAnswer, SendHealth
 from sagetrestle.net.routing.state import Connection, Entry
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import (
     Answer, ConnectionEnd, ConnectionId, Failed, FailCause, Refused, Request, Ticket,
 )
 
-MAX_OPEN = 64  # requests open on one connection; front ends send 32 at the most
+MAX_OPEN = 32  # requests open on one connection
+AHEAD_US = 1_000_000  # a stamp may be ahead of the clock, as both are rounded; none is by this much
+FULL_SHARE = 0.75  # of a front's room, from which connections that never sent a request make room
+NO_ROOM_US = 1_000_000  # how long to stay away when too many requests are held
 NOT_UP_US = 1_000_000  # how long to stay away while the kernel is not up
-NOTED = (ConnectionEnd.MALFORMED, ConnectionEnd.TOO_LARGE)
+NOTED = (ConnectionEnd.MALFORMED, ConnectionEnd.TOO_LARGE, ConnectionEnd.TIMED_OUT)
 
 
 def opened(turn: Turn, item: inputs.ConnectionOpened) -> None:
-    """Take a connection in."""
-    turn.state.connections[item.connection] = Connection(used_at=turn.now)
+    """Take a connection in; in a full front one that never sent a valid request goes, the oldest first."""
+    connections, front = turn.state.connections, item.connection.front
+    own = [name for name in connections if name.front == front]
+    if len(own) >= FULL_SHARE * turn.state.plan.bounds.connections[front]:
+        idle = next((name for name in own if not connections[name].proven
+                     and connections[name].leaving_at is None), None)
+        if idle is not None:
+            connections[idle].leaving_at = turn.now
+            turn.effects.append(CloseConnection(idle))
+    connections[item.connection] = Connection(used_at=turn.now)
 
 
 def ended(turn: Turn, item: inputs.ConnectionEnded) -> None:
@@ -44,7 +55,7 @@
     """Answer a health check from what the module last said."""
     connection = turn.state.connections.get(item.ticket.connection)
     if connection:
-        connection.used_at = turn.now
+        connection.used_at, connection.proven = turn.now, True
         good = turn.state.healthy and turn.state.drain is None
         turn.effects.append(SendHealth(item.ticket, good, turn.state.value))
 
@@ -52,8 +63,9 @@
 def request_read(turn: Turn, item: inputs.RequestRead) -> None:
     """Take a request in, tied to the try it repeats, and tell the module."""
     state = turn.state
+    stamp = item.request.arrived or turn.now
     # A stamp ahead of the clock would stretch deadlines and windows.
-    request = item.request._replace(arrived=min(item.request.arrived or turn.now, turn.now))
+    request = item.request._replace(arrived=min(stamp, turn.now))
     connection = state.connections.get(request.ticket.connection)
     if connection is None:
         return
@@ -65,13 +77,19 @@
     connection.used_at = turn.now
     if state.policy is None:
         _answer_now(turn, request, Refused(NOT_UP_US))
+    elif stamp > turn.now + AHEAD_US:
+        _doubtful(turn, request, "its stamp is ahead of the clock", Failed())
+    elif turn.now > stamp + state.plan.settings.classes[request.cls].deadline_us:
+        # Told of these, the module would take a stamp from long ago for a long wait unread.
+        _answer_now(turn, request, Failed(FailCause.OVERDUE))
     elif request.id in state.entries:
-        turn.log(f"request {request.id} came before under this id")
-        _answer_now(turn, request, Failed())
+        _doubtful(turn, request, "it came before under this id", Failed())
     elif state.keys.conflicts(request, turn.now):
-        turn.log(f"request {request.id}: its key came before with another body")
-        _answer_now(turn, request, Failed(FailCause.CONFLICT))
+        _doubtful(turn, request, "its key came before with another body", Failed(FailCause.CONFLICT))
+    elif len(state.entries) >= state.plan.bounds.requests:
+        _answer_now(turn, request, Refused(NO_ROOM_US))
     else:
+        connection.proven = True
         _take(turn, connection, request)
 
 
@@ -86,6 +104,13 @@
     ))
 
 
+def _doubtful(turn: Turn, request: Request, why: str, answer: Answer) -> None:
+    """Answer a request that no honest client sends."""
+    turn.log(f"request {request.id} not taken: {why}")
+    turn.effects.append(Doubt(request.ticket.connection))
+    _answer_now(turn, request, answer)
+
+
 def _answer_now(turn: Turn, request: Request, answer: Answer) -> None:
     """Answer a request that the module is not told of."""
     turn.effects.append(SendAnswer(request.ticket, answer, turn.state.value))
--- a/sagetrestle/net/routing/keys.py
+++ b/sagetrestle/net/routing/keys.py
@@ -35,7 +35,6 @@
     ran: str | None = None  # the last try that ran
     ran_until: int = 0  # the end of its window, counted from its arrival
     latest: str | None = None  # the last try read in this turn
-    touched: int = 0
 
 
 @dataclass(slots=True)
@@ -47,6 +46,8 @@
     results: dict[str, Finished] = field(default_factory=dict)
     names: dict[str, Key] = field(default_factory=dict)  # kept or run tries, by id
     turn_keys: list[Key] = field(default_factory=list)
+    most_bytes: int = 1 << 24  # of results
+    held_bytes: int = 0
     next_sweep: int = 0
 
     def key_of(self, request: Request) -> Key | None:
@@ -80,7 +81,7 @@
         earlier = self._holder(state, request, now) or state.latest
         if earlier is None:
             state.digest = _digest(request.body)
-        state.latest, state.touched = request.id, now
+        state.latest = request.id
         self.turn_keys.append(key)
         return earlier
 
@@ -104,6 +105,8 @@
         state = self.keys.get(self.names.get(id, ("", 0, "")))
         if state and state.holder == id:
             state.holder = None
+        if state and state.ran != id:
+            self._drop(id)
 
     def started(self, request: Request) -> None:
         """Remember that a try runs: its window counts from its arrival."""
@@ -115,6 +118,13 @@
         state.ran_until = request.arrived + self.settings.classes[request.cls].window_us + MARGIN_US
         self.names[request.id] = key
 
+    def never_ran(self, request: Request) -> None:
+        """Take back that a try runs: the kernel did not start it, so its key is as if it had not come."""
+        state = self.keys.get(self.names.get(request.id, ("", 0, "")))
+        if state and state.ran == request.id:
+            state.ran, state.ran_until = None, 0
+        self.forget(request.id)
+
     def may_start(self, request: Request) -> bool:
         """Tell whether no other try of a keyed request ran whose window holds this one's arrival."""
         key = self.key_of(request)
@@ -133,7 +143,11 @@
             state.held_until = min(state.held_until, until)
             if result is None and state.holder == request.id:
                 state.holder = None  # one that failed has nothing to share, not even in the same turn
+        self._drop_result(request.id)
         self.results[request.id] = Finished(result, until + LATE_READ_US)
+        self.held_bytes += len(result or b"")
+        while self.held_bytes > self.most_bytes:  # a repeat of what is dropped fails; it does not run again
+            self._drop_result(next(iter(self.results)))
 
     def result(self, id: str) -> Finished | None:
         """Return what became of a try that is over."""
@@ -144,11 +158,21 @@
         if now < self.next_sweep:
             return
         self.next_sweep = now + 1_000_000
-        self.results = {id: one for id, one in self.results.items() if one.until > now}
-        self.keys = {key: one for key, one in self.keys.items()
-                     if max(one.held_until, one.ran_until, one.touched) + LATE_READ_US > now}
+        for id in [id for id, one in self.results.items() if one.until <= now]:
+            self._drop_result(id)
+        self.keys = {key: one for key, one in self.keys.items() if one.latest or
+                     (one.holder or one.ran) and max(one.held_until, one.ran_until) + LATE_READ_US > now}
         self.names = {id: key for id, key in self.names.items() if key in self.keys}
 
+    def _drop(self, id: str) -> None:
+        self.names.pop(id, None)
+        self._drop_result(id)
+
+    def _drop_result(self, id: str) -> None:
+        gone = self.results.pop(id, None)
+        if gone:
+            self.held_bytes -= len(gone.result or b"")
+
     def _holder(self, state: KeyState, request: Request, now: int) -> str | None:
         """Return the try with the living entry, or the one that ran and whose window holds the arrival."""
         if state.holder and state.held_until >= now:
--- a/sagetrestle/net/routing/runs.py
+++ b/sagetrestle/net/routing/runs.py
@@ -8,7 +8,7 @@
 from sagetrestle.logic import Policy
 from sagetrestle.net.routing import inputs
 from sagetrestle.net.routing.actions import carry_out
-from sagetrestle.net.routing.effects import AbandonCall, AskGauges, ConnectKernel, OpenKernel
+from sagetrestle.net.routing.effects import AbandonCall, AskGauges, ConnectKernel, Doubt, OpenKernel
 from sagetrestle.net.routing.outcomes import run_outcome
 from sagetrestle.net.routing.state import Entry, Link, Phase
 from sagetrestle.net.routing.turn import Turn
@@ -174,6 +174,9 @@
     if entry.resent:
         entry.resent = False
         return
+    if item.kind is CommandKind.START:  # it came to no kernel, so no front end of the platform sent it
+        turn.state.keys.never_ran(entry.request)
+        turn.effects.append(Doubt(entry.request.ticket.connection))
     turn.answer(entry, Failed())
     turn.over(entry)
     turn.events.append(RunEnded(item.id, run_outcome(RunEnd.CRASHED)))
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -55,6 +55,7 @@
     open: set[int] = field(default_factory=set)
     used_at: int = 0
     leaving_at: int | None = None
+    proven: bool = False  # by a request or health check that could be taken
 
 
 class Link(Enum):
@@ -115,4 +116,5 @@
 
 def new_state(plan: Plan) -> State:
     """Return the state of a server that starts."""
-    return State(plan, KeyTable(plan.settings), idle_us=plan.settings.idle_max_us)
+    keys = KeyTable(plan.settings, most_bytes=plan.bounds.results)
+    return State(plan, keys, idle_us=plan.settings.idle_max_us)
--- a/sagetrestle/net/routing/values.py
+++ b/sagetrestle/net/routing/values.py
@@ -127,11 +127,23 @@
     REPLY = "reply"
 
 
+class Bounds(NamedTuple):
+    """How much there may be of everything at once, from the limits that the platform sets."""
+
+    connections: dict[str, int]  # of each front
+    turned_down: int  # SCGI connections that are still told so
+    dns: int
+    calls: int
+    requests: int
+    results: int  # bytes
+
+
 @dataclass(frozen=True)
 class Plan:
     """What the core is told of its place, from the configuration."""
 
     settings: Settings
     stop_us: int
+    bounds: Bounds
     gauges: tuple[str, ...] = ()
     seed: int = 0
--- a/sagetrestle/net/transport/connection.py
+++ b/sagetrestle/net/transport/connection.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 from twisted.internet.interfaces import IListeningPort, IPushProducer
 from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
+from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
@@ -14,10 +15,12 @@
 from sagetrestle.net.routing.values import Answer, ConnectionEnd, ConnectionId, Ticket
 from sagetrestle.net.transport.ends import Post, end_of, end_of_fault
 
+STALLED_S = 2.0  # for the rest of a request that has begun, and for taking the answers that wait
+
 
 @implementer(IPushProducer)
-class FrontConnection(Protocol):
-    """A connection that reads nothing more while the other side does not take its answers.
+class FrontConnection(Protocol, TimeoutMixin):
+    """A connection that reads nothing more while the other side does not take its answers, or is paced.
 
     As few requests are open on a connection, what waits to be written to it is bounded by that.
     """
@@ -26,6 +29,7 @@
     name: ConnectionId | None = None  # once admitted
 
     def connectionMade(self) -> None:  # noqa: D102
+        self._choked = self._paced = False
         self._broken: tuple[ConnectionEnd, str] | None = None
         if self.factory.full():
             self.turn_down()
@@ -46,6 +50,49 @@
             self.read(data)
         except ProtocolError as fault:
             self.broken(fault)
+        else:
+            self._watch(renew=False)
+
+    def callLater(self, seconds: float, act: Any) -> Any:
+        """Set the timer on the reactor that all else runs on."""
+        return self.factory.reactor.callLater(seconds, act)
+
+    def partial(self) -> bool:
+        """Tell whether a request has begun and its rest has yet to come."""
+        raise NotImplementedError
+
+    def _watch(self, renew: bool) -> None:
+        """Bound the time that half a request, or answers that are not taken, may last."""
+        if self._broken or self._paced or not (self._choked or self.partial()):
+            self.setTimeout(None)
+        elif renew or self.timeOut is None:
+            self.setTimeout(STALLED_S)
+
+    def timeoutConnection(self) -> None:
+        """Cut off a side that does not go on."""
+        what = "answers are not taken" if self._choked else "a request stopped in its middle"
+        self._broken = (ConnectionEnd.TIMED_OUT, what)
+        self.transport.unregisterProducer()
+        self.transport.abortConnection()
+
+    def pace(self, seconds: float) -> None:
+        """Read nothing for so long; what was read but not looked at waits as well."""
+        if not self._paced:
+            self._paced = True
+            self._set_reading()
+            self.callLater(seconds, self._go_on)
+
+    def _go_on(self) -> None:
+        self._paced = False
+        if self.name in self.factory.connections and not self._broken:
+            self._set_reading()
+            self.dataReceived(b"")
+
+    def _set_reading(self) -> None:
+        if self._choked or self._paced:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
 
     def read(self, data: bytes) -> None:
         """Take bytes in."""
@@ -64,15 +111,20 @@
         self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
+        self.setTimeout(None)
         if self.name and self.factory.connections.pop(self.name, None):
             end, detail = self._broken or (end_of(reason), "")
             self.factory.post(ConnectionEnded(self.name, end, detail))
 
     def pauseProducing(self) -> None:  # noqa: D102
-        self.transport.pauseProducing()
+        self._choked = True
+        self._set_reading()
+        self._watch(renew=False)
 
     def resumeProducing(self) -> None:  # noqa: D102
-        self.transport.resumeProducing()
+        self._choked = False
+        self._set_reading()
+        self._watch(renew=False)
 
     def stopProducing(self) -> None:
         """Stop at the transport's word; ``connectionLost`` follows."""
@@ -86,8 +138,8 @@
 
     noisy = False
 
-    def __init__(self, kind: str, protocol: type[C], post: Post, most: int) -> None:
-        self.kind, self.protocol, self.post, self.most = kind, protocol, post, most
+    def __init__(self, reactor: Any, kind: str, protocol: type[C], post: Post, most: int) -> None:
+        self.reactor, self.kind, self.protocol, self.post, self.most = reactor, kind, protocol, post, most
         self.connections: dict[ConnectionId, C] = {}
         self.port: IListeningPort | None = None
         self._count = 0
@@ -112,6 +164,9 @@
         """Return a connection's name; 0 stands for one that was not admitted."""
         return ConnectionId(self.kind, number)
 
+    def doubt(self, connection: C) -> None:
+        """Note that what came on a connection was no use."""
+
     def admit(self, connection: C) -> None:
         """Name a new connection."""
         self._count += 1
--- a/sagetrestle/net/transport/dnssd.py
+++ b/sagetrestle/net/transport/dnssd.py
@@ -12,7 +12,7 @@
 from twisted.protocols.policies import TimeoutFactory
 
 SERVICE = "_scgi._tcp"
-MOST_CONNECTIONS, IDLE_S = 16, 10
+IDLE_S = 10
 TTL_S = 10  # unicast DNS has no goodbye: a withdrawn service is remembered so long at the most
 
 
@@ -69,22 +69,24 @@
     """Takes a few connections only: descriptors are bounded, and requests need theirs."""
 
     noisy = False
+    most = 0
 
     def buildProtocol(self, addr: Any) -> Any:
         """Take a connection if one fits."""
-        return super().buildProtocol(addr) if len(self.connections) < MOST_CONNECTIONS else None
+        return super().buildProtocol(addr) if len(self.connections) < self.most else None
 
 
 class DnsResponder:
     """Answers questions on one loopback address, over UDP and TCP."""
 
-    def __init__(self, authority: ServiceAuthority) -> None:
-        self.authority = authority
+    def __init__(self, authority: ServiceAuthority, most: int) -> None:
+        self.authority, self._most = authority, most
         self.ports: list[IListeningPort] = []
 
     def listen(self, reactor: Any, address: tuple[str, int]) -> int:
         """Take the sockets and return their port."""
         factory = BoundedFactory(authorities=[self.authority])
+        factory.most = self._most
         protocol = dns.DNSDatagramProtocol(factory)
         protocol.noisy = False
         host, port = address
--- a/sagetrestle/net/transport/scgi_front.py
+++ b/sagetrestle/net/transport/scgi_front.py
@@ -16,14 +16,13 @@
 from sagetrestle.net.protocol import scgi
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.routing.inputs import RequestRead, RequestRejected
-from sagetrestle.net.routing.values import Answer, ConnectionId, Refused, Request, Ticket
+from sagetrestle.net.routing.values import Answer, Bounds, ConnectionId, Refused, Request, Ticket
 from sagetrestle.net.transport.connection import Front, FrontConnection
 from sagetrestle.net.transport.ends import Post
 from sagetrestle.net.transport.scgi_mapping import (
     DEFAULT_RANK, Rejected, Response, fault_response, read_call, to_response,
 )
 
-MOST_CONNECTIONS, MOST_TURNED_DOWN = 200, 20
 NO_ROOM_US = 1_000_000
 LINGER_S = 1.0  # how long input is still read and dropped after a response that did not wait for it
 PROBE_EVERY_S = 0.1
@@ -44,7 +43,7 @@
 
     def turn_down(self) -> None:
         """Say that there is no room, and when to come back; a flood is only cut off."""
-        if len(self.factory.turned_down) >= MOST_TURNED_DOWN:
+        if len(self.factory.turned_down) >= self.factory.most_turned_down:
             super().turn_down()
             return
         self.factory.turned_down.add(self)
@@ -61,6 +60,10 @@
         if request is not None:
             self._take(request)
 
+    def partial(self) -> bool:
+        """Tell whether the request has begun and is not whole."""
+        return not (self._request.untouched or self._request.complete or self._responded)
+
     def untouched(self) -> bool:
         """Tell whether not a byte was read yet."""
         return self._request.untouched
@@ -147,9 +150,10 @@
     SCGI has no health checks; the service's records follow the health instead.
     """
 
-    def __init__(self, reactor: Any, settings: Settings, post: Post, held_kb: float, seed: int) -> None:
-        super().__init__("scgi", ScgiConnection, post, MOST_CONNECTIONS)
-        self.reactor = reactor
+    def __init__(self, reactor: Any, settings: Settings, post: Post, bounds: Bounds, held_kb: float,
+                 seed: int) -> None:
+        super().__init__(reactor, "scgi", ScgiConnection, post, bounds.connections["scgi"])
+        self.most_turned_down = bounds.turned_down
         self.turned_down: set[ScgiConnection] = set()
         self._settings, self._held_kb = settings, held_kb
         self._ids = random.Random(seed)
--- a/sagetrestle/net/transport/thrift_front.py
+++ b/sagetrestle/net/transport/thrift_front.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from sagetrestle.interface import Settings
 from sagetrestle.net.protocol import thrift
+from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.routing.inputs import HealthAsked, RequestRead, RequestRejected, Withdrawn
 from sagetrestle.net.routing.values import Answer, Refused, Request, Served, Ticket
 from sagetrestle.net.transport.connection import Front, FrontConnection
 from sagetrestle.net.transport.ends import Post
 
-MOST_CONNECTIONS = 640  # front ends open up to half of 1,024 descriptors
+# Messages looked at before a pause, and the pause in seconds: for those that were served before, for those
+# that were not, and after what was of no use. A flood then costs the others a small part of the time.
+PACES = {"served": (16, 0.002), "new": (8, 0.01), "doubted": (1, 0.1)}
 
 
 class ThriftConnection(FrontConnection):
@@ -21,11 +25,25 @@
 
     def connectionMade(self) -> None:  # noqa: D102
         self._frames = thrift.FrameDecoder()
+        self._last = 0  # request number
+        self.standing = "new"
         super().connectionMade()
 
-    def read(self, data: bytes) -> None:  # noqa: D102
-        for frame in self._frames.feed(data):
+    def read(self, data: bytes) -> None:
+        """Take bytes in, and look at some of the messages that are complete."""
+        self._frames.push(data)
+        most, pause = PACES[self.standing]
+        for _ in range(most):
+            frame = self._frames.next()
+            if frame is None:
+                return
+            self._watch(renew=True)
             self._take(thrift.read_call(thrift.decode_message(frame)))
+        self.pace(pause)
+
+    def partial(self) -> bool:
+        """Tell whether a frame has begun."""
+        return self._frames.partial
 
     def _take(self, call: object) -> None:
         post = self.factory.post
@@ -41,6 +59,9 @@
             self._reject(call.name, call.seqid, thrift.UNKNOWN_METHOD, "unknown method", call.oneway)
 
     def _handle(self, call: thrift.Handle) -> None:
+        if call.seqid <= self._last:
+            raise ProtocolError(f"request number {call.seqid} after {self._last}")
+        self._last = call.seqid
         cls = self.factory.classes.get(call.cls)
         if cls is None:
             self._reject("handle", call.seqid, thrift.PROTOCOL_ERROR, "field 'c' names no class")
@@ -53,6 +74,7 @@
 
     def _reject(self, name: str, seqid: int, code: int, why: str, oneway: bool = False) -> None:
         """Answer a call that is well formed but can not be carried out."""
+        self.factory.doubt(self)
         if not oneway:
             self.transport.write(thrift.encode_exception(name, seqid, code, why))
         self.factory.post(RequestRejected(self.name, f"{name!r}: {why}"))
@@ -61,8 +83,9 @@
 class ThriftFront(Front[ThriftConnection]):
     """Writes the core's answers as the service ``Front`` has them."""
 
-    def __init__(self, settings: Settings, post: Post, from_unix_ms: Callable[[int], int]) -> None:
-        super().__init__("thrift", ThriftConnection, post, MOST_CONNECTIONS)
+    def __init__(self, reactor: Any, settings: Settings, post: Post, most: int,
+                 from_unix_ms: Callable[[int], int]) -> None:
+        super().__init__(reactor, "thrift", ThriftConnection, post, most)
         self.classes = {cls.name: at for at, cls in enumerate(settings.classes)}
         self.from_unix_ms = from_unix_ms
 
@@ -70,6 +93,8 @@
         """Write a final answer."""
         connection = self.connections.get(ticket.connection)
         if connection:
+            if isinstance(answer, Served):
+                connection.standing = "served"
             connection.transport.write(_encode(ticket.seqid, answer, _value(value)))
 
     def send_health(self, ticket: Ticket, good: bool, value: float | None) -> None:
@@ -79,6 +104,11 @@
             connection.transport.write(
                 thrift.encode_answer("status", ticket.seqid, b"", _value(value), good))
 
+    def doubt(self, connection: ThriftConnection) -> None:
+        """Look at what comes on a connection seldom from now on."""
+        if connection.standing == "new":
+            connection.standing = "doubted"
+
     def leave(self, connection: ThriftConnection) -> None:
         """Ask that no new request come; the other side closes."""
         connection.transport.write(thrift.encode_leaving())
