--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -34,6 +34,7 @@
 from sagetrestle.net.transport.thrift_front import ThriftFront
 
 BACKLOG = 512
+COLLECT = (5_000, 10, 10)  # almost nothing here is part of a cycle: looking for them seldom is enough
 EXIT_AFTER_S = 0.03  # for the last answers to leave their sockets
 SCGI_FILE = Path("deploy/scgi.toml")
 
@@ -90,8 +91,8 @@
                 self.fronts[ticket.connection.front].send_health(ticket, good, value)
             case fx.CommandRun():
                 self.kernel.write(encode(effect))
-            case fx.PostCall(id, timeout_ms, body):
-                self.ledger.call(id, timeout_ms, body)
+            case fx.PostCall(id, timeout_ms, body, once):
+                self.ledger.call(id, timeout_ms, body, once)
             case fx.AbandonCall(id):
                 self.ledger.abandon(id)
             case fx.AskGauges(cookie):
@@ -200,5 +201,6 @@
     scorer = Scorer(reactor, config, logger, Clock(), reread)
     scorer.start()
     gc.freeze()
+    gc.set_threshold(*COLLECT)
     reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
     return scorer.exit_code
--- a/sagetrestle/net/protocol/thrift.py
+++ b/sagetrestle/net/protocol/thrift.py
@@ -49,7 +49,12 @@
 
 
 UNKNOWN_METHOD, PROTOCOL_ERROR = 1, 7  # codes of application exceptions
-NUMBERS = {Type.BYTE: ">b", Type.DOUBLE: ">d", Type.I16: ">h", Type.I32: ">i", Type.I64: ">q"}
+KIND, FIELD, SIZE, HEAD = struct.Struct(">B"), struct.Struct(">h"), struct.Struct(">i"), struct.Struct(">I")
+NUMBERS = {int(Type.BYTE): struct.Struct(">b"), int(Type.DOUBLE): struct.Struct(">d"), int(Type.I16): FIELD,
+           int(Type.I32): SIZE, int(Type.I64): struct.Struct(">q")}
+STOP, BOOL, STRING, STRUCT, MAP = (int(one) for one in (
+    Type.STOP, Type.BOOL, Type.STRING, Type.STRUCT, Type.MAP))  # plain numbers are looked up far quicker
+CONTAINERS = (STRUCT, MAP, int(Type.SET), int(Type.LIST))
 
 
 class FrameDecoder:
@@ -72,7 +77,7 @@
         """Return the next frame, if it is complete."""
         if len(self._buffer) < 4:
             return None
-        (size,) = struct.unpack_from(">I", self._buffer)
+        (size,) = HEAD.unpack_from(self._buffer)
         if size > self._longest:
             raise ProtocolError(f"a frame of {size} bytes", Fault.TOO_LARGE)
         if len(self._buffer) - 4 < size:
@@ -101,50 +106,57 @@
         self._at += size
         return self._data[self._at - size:self._at]
 
-    def number(self, form: str) -> Any:
+    def number(self, form: struct.Struct) -> Any:
         """Return one number."""
-        return struct.unpack(form, self.take(struct.calcsize(form)))[0]
+        at = self._at
+        self._at += form.size
+        if self._at > len(self._data):
+            raise ProtocolError("a value runs past the end of its frame")
+        return form.unpack_from(self._data, at)[0]
 
     def string(self) -> bytes:
         """Return a string or binary."""
-        return self.take(self.number(">i"))
+        return self.take(self.number(SIZE))
 
     def value(self, kind: int, depth: int = 0) -> Any:
         """Return a value of any type: structs as dicts by field number, maps as dicts."""
         if depth > MAX_DEPTH:
             raise ProtocolError(f"values nested over {MAX_DEPTH} deep")
+        if kind == STRING:
+            return self.string()
         if kind in NUMBERS:
-            return self.number(NUMBERS[Type(kind)])
-        if kind == Type.BOOL:
+            return self.number(NUMBERS[kind])
+        if kind == BOOL:
             return self.take(1) != b"\0"
-        if kind == Type.STRING:
-            return self.string()
-        if kind == Type.STRUCT:
+        if kind == STRUCT:
             return self.fields(depth)
-        if kind == Type.MAP:
+        if kind == MAP:
             return self._map(depth)
-        if kind in (Type.SET, Type.LIST):
-            of, count = self.number(">B"), self._count()
+        if kind in CONTAINERS:
+            of, count = self.number(KIND), self._count()
             return [self.value(of, depth + 1) for _ in range(count)]
         raise ProtocolError(f"unknown type {kind}")
 
     def fields(self, depth: int = 0) -> dict[int, tuple[int, Any]]:
         """Return a struct: each field's number, with its type and value."""
         found: dict[int, tuple[int, Any]] = {}
-        while (kind := self.number(">B")) != Type.STOP:
-            number = self.number(">h")
+        while (kind := self.number(KIND)) != STOP:
+            number = self.number(FIELD)
             found[number] = (kind, self.value(kind, depth + 1))
         return found
 
     def _map(self, depth: int) -> dict[Any, Any]:
-        key, value, count = self.number(">B"), self.number(">B"), self._count()
-        if key in (Type.STRUCT, Type.MAP, Type.SET, Type.LIST):
+        key, value, count = self.number(KIND), self.number(KIND), self._count()
+        if key == value == STRING:
+            string = self.string
+            return {string(): string() for _ in range(count)}
+        if key in CONTAINERS:
             raise ProtocolError("a map whose keys are containers")
         return {self.value(key, depth + 1): self.value(value, depth + 1) for _ in range(count)}
 
     def _count(self) -> int:
         """Return a container's size; each element takes a byte at least, so none is larger than its frame."""
-        count = self.number(">i")
+        count = self.number(SIZE)
         if not 0 <= count <= len(self._data) - self._at:
             raise ProtocolError(f"a container of {count} elements")
         return count
@@ -171,11 +183,11 @@
 def decode_message(frame: bytes) -> Message:
     """Read a frame as a message of the strict binary protocol."""
     reader = Reader(frame)
-    head = reader.number(">I")
+    head = reader.number(HEAD)
     if head & 0xFFFF0000 != VERSION:
         raise ProtocolError("not a message of the strict binary protocol")
     name = _text(reader.string())
-    message = Message(name, head & 0xFF, reader.number(">i"), reader.fields())
+    message = Message(name, head & 0xFF, reader.number(SIZE), reader.fields())
     if not reader.at_end():
         raise ProtocolError("bytes after the end of a message")
     return message
@@ -262,7 +274,7 @@
     fields = {_text(key): _text(value) for key, value in (message.field(1, Type.MAP) or {}).items()}
     try:
         return Handle(
-            message.seqid, fields["c"], _matching(fields, "i", r"[0-9a-f]{16}"), _whole(fields, "s"),
+            message.seqid, fields["c"], _matching(fields, "i", ID), _whole(fields, "s"),
             _caller(fields), _flag(fields, "r"), _number(fields, "h", HINTS_MS) if "h" in fields else 0.0,
             _booked(fields), _number(fields, "p", RANKS), _short(fields, "k"), _short(fields, "o"), body,
         )
@@ -272,19 +284,24 @@
         return BadFields(message.seqid, str(error))
 
 
-def _matching(fields: dict[str, str], name: str, pattern: str) -> str:
-    if not re.fullmatch(pattern, fields[name]):
+ID, NAME, FLAG = re.compile(r"[0-9a-f]{16}"), re.compile(r"[!-~]{1,128}"), re.compile(r"[01]")
+WHOLE = re.compile(r"[0-9]{1,18}")
+NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?([eE][-+]?[0-9]{1,2})?")
+
+
+def _matching(fields: dict[str, str], name: str, pattern: re.Pattern[str]) -> str:
+    if not pattern.fullmatch(fields[name]):
         raise ValueError(f"field {name!r} is not of its form")
     return fields[name]
 
 
 def _short(fields: dict[str, str], name: str) -> str | None:
     """Return a name that is kept for long, and so must be short."""
-    return _matching(fields, name, r"[!-~]{1,128}") if name in fields else None
+    return _matching(fields, name, NAME) if name in fields else None
 
 
 def _flag(fields: dict[str, str], name: str) -> bool:
-    return name in fields and _matching(fields, name, "[01]") == "1"
+    return name in fields and _matching(fields, name, FLAG) == "1"
 
 
 def _caller(fields: dict[str, str]) -> int:
@@ -303,12 +320,12 @@
 
 
 def _whole(fields: dict[str, str], name: str) -> int:
-    return int(_matching(fields, name, r"[0-9]{1,18}"))
+    return int(_matching(fields, name, WHOLE))
 
 
 def _number(fields: dict[str, str], name: str, span: tuple[float, float]) -> float:
     """Return a number within its span; ``float`` alone would take 'nan' and 'inf'."""
-    value = float(_matching(fields, name, r"[0-9]{1,15}(\.[0-9]{1,15})?([eE][-+]?[0-9]{1,2})?"))
+    value = float(_matching(fields, name, NUMBER))
     if not span[0] <= value < span[1]:
         raise ValueError(f"field {name!r} is out of range")
     return value
--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -66,10 +66,12 @@
     """Make the call that a run waits for."""
     if entry.phase is not Phase.AT_CALL or not entry.owed:
         return
-    timeout = action.timeout_us or turn.state.plan.settings.classes[entry.request.cls].deadline_us
+    cls = turn.state.plan.settings.classes[entry.request.cls]
+    timeout = action.timeout_us or cls.deadline_us
     entry.phase, entry.call_from = Phase.CALLING, turn.now
     turn.state.calls[action.id] = turn.now + timeout
-    turn.effects.append(PostCall(action.id, max(1, timeout // 1000), entry.call_body))
+    once = cls.effect is not face.Effect.SAFE
+    turn.effects.append(PostCall(action.id, max(1, timeout // 1000), entry.call_body, once))
 
 
 def _skip(turn: Turn, entry: Entry, action: face.Skip) -> None:
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -90,11 +90,12 @@
 
 
 class PostCall(NamedTuple):
-    """Make a call."""
+    """Make a call; ``once`` tells that it can not be made again when nothing is known of it."""
 
     id: str
     timeout_ms: int
     body: bytes
+    once: bool
 
 
 class AbandonCall(NamedTuple):
--- a/sagetrestle/net/transport/ledger_pool.py
+++ b/sagetrestle/net/transport/ledger_pool.py
@@ -1,12 +1,14 @@
-"""Connections to the ledger, one for each call.
+"""Connections to the ledger, one call on each at a time.
 
-A spoilt reply, a reset or a silence makes a connection useless, also for the other calls on it; an idle one
-may be forgotten by the ledger, so that the next call on it breaks; a second copy of a reply may come late,
-when the same request calls again. None of this can reach a call that has a connection of its own.
+A spoilt reply, a reset or a silence makes a connection useless, also for the other calls on it, so none has
+others. An idle one may be forgotten by the ledger, so that the next call on it breaks: a connection is used
+again only soon, and never for a call that may be made only once. A second copy of a reply may come late, when
+the same request calls again: no connection carries two calls of one request.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol, connectionDone
@@ -21,15 +23,19 @@
 
 CONNECT_TIMEOUT_S = 1
 STALLED_S = 0.3  # within a reply, whose bytes come together
+IDLE_S = 0.3  # after which a connection is not used again
+CARRIES = 64  # calls, one after the other; their ids are kept to tell late copies
 
 
 class LedgerConnection(Protocol, TimeoutMixin):
-    """One connection, from its setting up until its call has come back."""
+    """One connection, set up for its first call."""
 
-    def __init__(self, pool: LedgerPool, id: str, data: bytes) -> None:
-        self._pool, self.id, self._data = pool, id, data
+    def __init__(self, pool: LedgerPool, address: tuple[str, int], id: str, data: bytes) -> None:
+        self._pool, self.address, self.id, self._data = pool, address, id, data
         self._replies = ledger.ReplyDecoder()
         self._up = self._settled = False
+        self.carried = {id}
+        self.idle_at = 0.0
 
     def callLater(self, seconds: float, act: Any) -> Any:
         """Set the timer on the reactor that all else runs on."""
@@ -43,6 +49,16 @@
         self.transport.setTcpNoDelay(True)
         self.transport.write(self._data)
 
+    def call(self, id: str, data: bytes) -> None:
+        """Make a further call, with none in hand."""
+        self.id, self._settled = id, False
+        self.carried.add(id)
+        self.transport.write(data)
+
+    def close(self) -> None:
+        """End a connection with no call in hand."""
+        self.transport.loseConnection()
+
     def abandon(self) -> None:
         """Give the call up; it may have run, and its reply is of no more use."""
         self._settled = True
@@ -52,17 +68,21 @@
             self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: D102
-        if self._settled:
-            return
+        was_idle = self._settled
         try:
             for reply in self._replies.feed(data):
                 if reply.call == self.id and not self._settled:  # extra replies are dropped
                     self._settle(CallAnswered(self.id, CallVerdict(reply.verdict), reply.body))
-                    self.transport.loseConnection()
         except ProtocolError as fault:
             self._cut(end_of_fault(fault), str(fault))
+            return
         if not self._settled:
             self.setTimeout(STALLED_S if self._replies.partial else None)
+        elif self._replies.partial or len(self.carried) >= CARRIES:
+            self._pool.drop(self)
+            self.close()
+        elif not was_idle:
+            self._pool.rest(self)
 
     def timeoutConnection(self) -> None:
         """Cut a reply that stopped in its middle: it will not go on."""
@@ -73,9 +93,11 @@
         if not self._settled:
             self._pool.post_input(LedgerLost(end, detail))
             self.ended(end)
+        self._pool.drop(self)
         self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
+        self._pool.drop(self)
         self.ended(end_of(reason))
 
     def ended(self, end: ConnectionEnd) -> None:
@@ -97,23 +119,58 @@
         self.reactor, self.post_input, self._most = reactor, post, most
         self._address: tuple[str, int] | None = None
         self._calls: dict[str, LedgerConnection] = {}
+        self._idle: deque[LedgerConnection] = deque()  # the one used last stands last
 
     def use(self, address: tuple[str, int]) -> None:
         """Make new calls at this address; calls in hand may finish where they are."""
         self._address = address
-
-    def call(self, id: str, timeout_ms: int, body: bytes) -> None:
-        """Make a call; without room for its connection it is not made, as if it were refused."""
-        if self._address is None or len(self._calls) >= self._most:
+        while self._idle:
+            self._idle.popleft().close()
+
+    def call(self, id: str, timeout_ms: int, body: bytes, once: bool) -> None:
+        """Make a call; without room for its connection it is not made, as if it were refused.
+
+        ``once`` tells that it can not be made again when nothing is known of it.
+        """
+        data = ledger.encode_post(id, timeout_ms, body)
+        idle = None if once else self._idle_for(id)
+        if idle is not None:
+            self._calls[id] = idle
+            idle.call(id, data)
+            return
+        if len(self._calls) + len(self._idle) >= self._most and self._idle:
+            self._idle.popleft().close()
+        if self._address is None or len(self._calls) + len(self._idle) >= self._most:
             self.post_input(CallBroken(id, ConnectionEnd.REFUSED, written=False))
             return
-        connection = LedgerConnection(self, id, ledger.encode_post(id, timeout_ms, body))
-        self._calls[id] = connection
+        connection = self._calls[id] = LedgerConnection(self, self._address, id, data)
         factory = Factory.forProtocol(lambda: connection)  # type: ignore[arg-type]
         factory.noisy = False
         endpoint = endpoint_at(self.reactor, self._address, CONNECT_TIMEOUT_S)
         endpoint.connect(factory).addErrback(lambda reason: connection.ended(end_of(reason)))
 
+    def _idle_for(self, id: str) -> LedgerConnection | None:
+        """Return a connection that was used just now, though not for this request."""
+        oldest = self.reactor.seconds() - IDLE_S
+        while self._idle and self._idle[0].idle_at < oldest:
+            self._idle.popleft().close()
+        if not self._idle or id in self._idle[-1].carried:
+            return None
+        return self._idle.pop()
+
+    def rest(self, connection: LedgerConnection) -> None:
+        """Keep a connection whose call came back, unless its address is no longer used."""
+        if connection.address != self._address:
+            connection.close()
+            return
+        connection.idle_at = self.reactor.seconds()
+        self._idle.append(connection)
+
+    def drop(self, connection: LedgerConnection) -> None:
+        """Use an idle connection no more."""
+        if connection in self._idle:
+            self._idle.remove(connection)
+
     def abandon(self, id: str) -> None:
         """Give a call up."""
         if id in self._calls:
