Refuse unrun what would wait too long for its call, and give silent safe calls up

Calls had turned slow, the cores were free (0.5 to 0.9), so _shed returned at once ("fits") and all was started; 20 to 45 requests then stood at a call until it was too late.

Changed: _shed_calls lays calls begun and held after one another, by aim, at the usual length of a call, and turns away from the hold what comes too late, the least worth first. A safe call that is silent for eight usual calls is given up and made again: before, its request waited until its aim, with no time left to do anything.

--- a/sagetrestle/logic.py
+++ b/sagetrestle/logic.py
@@ -32,6 +32,7 @@
 WAY_BACK = 0.02  # of the aim, for the answer's way back
 CALLS_ROOM = 0.4  # of the part in a shared dependency, for calls in hand: it slows when crowded
 CALL_SPAN, CALL_PATIENCE = 0.33, 3.0  # averaging of calls in hand, of the span; usual calls waited for
+CALL_SILENT = 8.0  # usual calls after which one that is safe to repeat is given up for lost
 CALL_LATE = 1.5  # length of a call given up, over the time waited for it
 CALL_PAUSE, CALL_TRIES = 0.02, 4  # pause before a failed call is repeated, of the aim; tries
 CALL_HOPE = 0.7  # of a usual call: with less time left it would only crowd out calls that can be in time
@@ -153,6 +154,7 @@
             self.handlers[type(event)](event)
         self._expire()
         self._make_calls()
+        self._shed_calls()
         self._shed()
         self._slices()
         self._start()
@@ -488,6 +490,33 @@
                 if victim is work:
                     break
 
+    def _shed_calls(self) -> None:
+        """Turn away from the hold what would wait too long for its call, the least worth for its work first.
+
+        Guards against a slow dependency: the cores are free then, so all would start, and most of it fail
+        later, waiting for calls. Hurts where calls turn quick again, until those in hand have shown it; so
+        it acts only once as many wait as may be in hand (with fewer, big days lost by it, measured).
+        """
+        if len(self.calls_waiting) < self.calls_part:
+            return
+        part = max(1.0, self.calls_part - len(self.lingering))
+        calling = [work for work in self.live.values() if self.set.classes[work.cls].calls]
+        ahead = sum(self.call_each[work.cls] for work in calling
+                    if work.ran and not work.called and work.state != CALLING) / part
+        kept: list[tuple[float, int, Work, float]] = []
+        held = [work for work in calling if work.state == HELD]
+        for work in sorted(held, key=lambda one: (one.target, one.seq)):
+            each = self.call_each[work.cls]
+            ahead += each / part
+            heapq.heappush(kept, (self._density(work), -work.seq, work, each))
+            alone = each + self._need(work)
+            while kept and self.now + ahead + alone > work.target:
+                _, _, victim, freed = heapq.heappop(kept)
+                ahead -= freed / part
+                self._turn_away(victim)
+                if victim is work:
+                    break
+
     # Running
 
     def _stop(self, work: Work) -> None:
@@ -722,6 +751,9 @@
                     # hand on each server would bring down what all share. Hurts where calls turn slower.
                     room = (self.calls_part - self.calls_mean) * self.set.calls_span_us * CALL_SPAN
                     left = min(left, int(max(room, self.call_each[work.cls] * CALL_PATIENCE)))
+                if cls.effect is Effect.SAFE and self.call_each[work.cls]:
+                    # A reply may never come: with time left the call is made again, which a write's is not.
+                    left = min(left, int(self.call_each[work.cls] * CALL_SILENT))
                 self.out.append(Call(work.id, max(self.set.tick_us, left)))
 
     def _wake(self) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -221,6 +221,30 @@
     assert ids(made.handle(920 * MS, [AtCall("c")]), Fail) == ["b", "c"]
 
 
+def test_where_calls_are_slow_what_would_wait_too_long_is_refused():
+    """With free cores all of it was started and failed waiting for calls; the other class is not hurt."""
+    classes = (ClassSettings("calls", 1_000 * MS, 3_000 * MS, calls=True),
+               ClassSettings("plain", 1_000 * MS, 3_000 * MS),
+               ClassSettings("dear", 1_000 * MS, 3_000 * MS, worth=4.0, calls=True))
+    made = policy(cores=8, classes=classes, below=Below.SHARED, calls_share=2.5, counted_by_work=True)
+    made.call_each = [400.0 * MS, 0.0, 400.0 * MS]
+    made.handle(0, [arrive(f"r{at}", 0, caller=at) for at in range(3)])
+    assert len(ids(made.handle(10 * MS, [AtCall(f"r{at}") for at in range(3)]), Call)) == 1
+    actions = made.handle(20 * MS, [arrive("c", 0, caller=7), arrive("p", 1, caller=8)])
+    assert (ids(actions, Refuse), ids(actions, Run)) == (["c"], ["p"])
+
+
+def test_a_silent_call_is_made_again_only_where_that_is_safe():
+    """A reply that never comes held a read until its aim, when nothing could be done for it any more."""
+    classes = (ClassSettings("read", 1_000 * MS, 3_000 * MS, calls=True),
+               ClassSettings("k", 1_000 * MS, 3_000 * MS, effect=Effect.KEYED, window_us=9, calls=True))
+    made = policy(cores=4, classes=classes, below=Below.SHARED, calls_share=50.0)
+    made.call_each = [20.0 * MS, 20.0 * MS]
+    made.handle(0, [arrive("r", 0), arrive("k", 1, caller=2)])
+    calls = [one for one in made.handle(MS, [AtCall("r"), AtCall("k")]) if isinstance(one, Call)]
+    assert {one.id: one.timeout_us for one in calls} == {"r": 160 * MS, "k": 979 * MS}
+
+
 def test_tables_do_not_keep_what_is_over():
     """Floods that are taken back at once, keys ever new, left entries behind for the whole window."""
     made = policy(cores=2)
