In a line for calls, turn away the least worth for its calls, held or standing at one

The probe shows why: _shed_calls took what had begun as given, so a full line of cheap reads kept dear charges out, and it counted one call for a full-report, which makes one to two, so the end of the line always came late (9.9% answered late).

Checked and ruled out: call places were in use (4 of 4.8, at most 3 lingering), the estimate of a call was right (60 ms against 4 in hand and 66 back a second), cores, memory and CPU were free.

Changed: calls to come are counted (usual calls of the class less those made), waits have a margin, and the victim is the least worth for the time of its calls, also one that stands at a call. What is answered calls no more.

--- a/sagetrestle/logic.py
+++ b/sagetrestle/logic.py
@@ -32,7 +32,8 @@
 WAY_BACK = 0.02  # of the aim, for the answer's way back
 CALLS_ROOM = 0.4  # of the part in a shared dependency, for calls in hand: it slows when crowded
 CALL_SPAN, CALL_PATIENCE = 0.33, 3.0  # averaging of calls in hand, of the span; usual calls waited for
-CALL_SILENT = 8.0  # usual calls after which one that is safe to repeat is given up for lost
+CALLS_MARGIN = 1.2  # waits for calls over those computed: lines form and calls differ
+CALL_SILENT = 9.0  # usual calls after which one that is safe to repeat is given up for lost
 CALL_LATE = 1.5  # length of a call given up, over the time waited for it
 CALL_PAUSE, CALL_TRIES = 0.02, 4  # pause before a failed call is repeated, of the aim; tries
 CALL_HOPE = 0.7  # of a usual call: with less time left it would only crowd out calls that can be in time
@@ -90,7 +91,7 @@
 
     __slots__ = ("id", "seq", "cls", "tenant", "user", "due", "target", "kb", "hint", "retry", "state",
                  "answered", "ran", "over", "used", "slice", "mark", "record", "call_from", "call_until",
-                 "called", "tries", "memory")
+                 "called", "calls", "tries", "memory")
 
     def __init__(self, event: Arrived, seq: int) -> None:
         self.id, self.seq, self.retry = event.id, seq, event.retry
@@ -99,7 +100,7 @@
         self.answered = self.ran = self.over = False
         self.used = self.slice = self.mark = 0.0
         self.record: KeyRecord | None = None
-        self.call_from = self.call_until = self.called = self.tries = 0
+        self.call_from = self.call_until = self.called = self.calls = self.tries = 0
         self.kb = self.memory = event.held_kb
 
 
@@ -132,6 +133,7 @@
         self.usual_mean = sum(self.usual) / len(self.usual)
         self.hinted = self.pace = self.hint_mean = self.used_mean = 1.0
         self.call_time, self.call_each = [0.0] * len(self.usual), [0.0] * len(self.usual)
+        self.calls_usual = [1.0] * len(self.usual)
         self.read, self.shed, self.rates = 0, 0, [0.0] * len(settings.tenants)
         self.in_share = [1.0] * len(settings.tenants)
         self.said: float | None = None
@@ -383,6 +385,8 @@
             self.used_mean += gain * (work.used - self.used_mean)
             self.hinted = self.used_mean / max(1.0, self.hint_mean)
         self.usual_mean += USUAL_GAIN * (work.used - self.usual_mean)
+        if self.set.classes[work.cls].calls:
+            self.calls_usual[work.cls] += max(gain, CALL_GAIN) * (work.calls - self.calls_usual[work.cls])
         if work.called:
             self.call_time[work.cls] += max(gain, CALL_GAIN) * (work.called - self.call_time[work.cls])
 
@@ -491,7 +495,7 @@
                     break
 
     def _shed_calls(self) -> None:
-        """Turn away from the hold what would wait too long for its call, the least worth for its work first.
+        """Turn away what would wait too long for its call, the least worth for its calls first.
 
         Guards against a slow dependency: the cores are free then, so all would start, and most of it fail
         later, waiting for calls. Hurts where calls turn quick again, until those in hand have shown it; so
@@ -499,18 +503,20 @@
         """
         if len(self.calls_waiting) < self.calls_part:
             return
-        part = max(1.0, self.calls_part - len(self.lingering))
-        calling = [work for work in self.live.values() if self.set.classes[work.cls].calls]
-        ahead = sum(self.call_each[work.cls] for work in calling
-                    if work.ran and not work.called and work.state != CALLING) / part
+        part, ahead = max(1.0, self.calls_part - len(self.lingering)), 0.0
+        calling = [work for work in self.live.values() if self.set.classes[work.cls].calls
+                   and not work.answered and work.state not in (CALLING, JOINED)]
         kept: list[tuple[float, int, Work, float]] = []
-        held = [work for work in calling if work.state == HELD]
-        for work in sorted(held, key=lambda one: (one.target, one.seq)):
-            each = self.call_each[work.cls]
-            ahead += each / part
-            heapq.heappush(kept, (self._density(work), -work.seq, work, each))
-            alone = each + self._need(work)
-            while kept and self.now + ahead + alone > work.target:
+        for work in sorted(calling, key=lambda one: (one.target, one.seq)):
+            calls = max(float(work.state == AT_CALL), self.calls_usual[work.cls] - work.calls)
+            length = self.call_each[work.cls] * calls
+            ahead += length / part
+            if length <= 0.0 or work.state not in (HELD, AT_CALL):
+                continue
+            worth = self._density(work) * (self._size(work) if self.set.counted_by_work else 1.0)
+            heapq.heappush(kept, (worth / length, -work.seq, work, length))
+            alone = length + (self._need(work) if work.state == HELD else 0.0)
+            while kept and self.now + ahead * CALLS_MARGIN + alone > work.target:
                 _, _, victim, freed = heapq.heappop(kept)
                 ahead -= freed / part
                 self._turn_away(victim)
@@ -682,6 +688,7 @@
         self._settle(work)
         self.on_cores.pop(work.id, None)
         work.state, work.tries = AT_CALL, 0
+        work.calls += 1
         work.call_from = work.call_until = self.now
         if work.answered:
             self.out.append(Fail(work.id))
@@ -734,6 +741,8 @@
     def _make_calls(self) -> None:
         """Make the calls that fit, by aim; go without one that would come too late."""
         for work in sorted(self.calls_waiting.values(), key=lambda one: (one.target, one.seq)):
+            if work.answered:  # its run ends at this call
+                continue
             cls = self.set.classes[work.cls]
             left = (work.target if self.now < work.target else work.due) - self.now
             left -= int(self._size(work) * self.pace * TAIL_SHARE) if cls.skip_worth else 0
