Close newcomers to a full front before they are taken in, and name what a reload leaves

Cause seen: Twisted takes up to 100 connections at a look. Each that found a full front was built, and cut off only in the next round of the reactor (connection.py, turn_down), so a burst could hold 100 descriptors over the room of the fronts, while program/limits.py keeps 32 beside the calls.

Checked: a test that fills a front and connects once more got a protocol and a transport before the change. A front that has a word for it (SCGI) still tells some of them. The log named the field "plan" after a reload that changed limits, which no file has: it now names name, listen, seed, stop_ms, limits, settings or scgi.toml.

--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -6,7 +6,7 @@
 import json
 import re
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -44,6 +44,19 @@
     scgi: ScgiConfig | None = None
 
 
+# What a reload leaves as it is, by the names that the files have for it.
+FIXED: dict[str, Callable[[Config], Any]] = {
+    "name": lambda one: one.name, "listen": lambda one: one.listen, "seed": lambda one: one.plan.seed,
+    "stop_ms": lambda one: one.plan.stop_us, "limits": lambda one: one.plan.bounds,
+    "settings": lambda one: (one.plan.settings, one.plan.gauges), "scgi.toml": lambda one: one.scgi,
+}
+
+
+def fixed_fields(old: Config, new: Config) -> tuple[str, ...]:
+    """Name the fields that differ and take a restart to change."""
+    return tuple(name for name, read in FIXED.items() if read(old) != read(new))
+
+
 def read_config(env: Mapping[str, str], scgi_file: Path) -> Config:
     """Read the file that the environment names; name and address in the environment go first."""
     path = env.get("ROUTER_CONFIG")
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -8,7 +8,6 @@
 import time
 import traceback
 from collections.abc import Callable
-from dataclasses import fields
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -17,7 +16,7 @@
 
 from sagetrestle.net.program import log, signals
 from sagetrestle.net.program.clock import Clock
-from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig, read_config
+from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig, fixed_fields, read_config
 from sagetrestle.net.program.loop import TurnLoop
 from sagetrestle.net.protocol import kernel as kernel_wire
 from sagetrestle.net.routing import effects as fx
@@ -78,9 +77,7 @@
         except ConfigError as error:
             self.loop.post(ReloadFailed(str(error)))
             return
-        fixed = [one.name for one in fields(Config) if one.name != "peers"
-                 and getattr(config, one.name) != getattr(self.config, one.name)]
-        self.loop.post(Reconfigured(config.peers, tuple(fixed)))
+        self.loop.post(Reconfigured(config.peers, fixed_fields(self.config, config)))
 
     def perform(self, effect: fx.Effect) -> None:
         """Carry out one effect."""
--- a/sagetrestle/net/transport/connection.py
+++ b/sagetrestle/net/transport/connection.py
@@ -39,9 +39,8 @@
         self.factory.admit(self)
 
     def turn_down(self) -> None:
-        """End a connection for which there is no room; nothing was read from it."""
-        self.factory.post(RequestRejected(self.factory.name_of(0), "too many connections"))
-        self.transport.abortConnection()
+        """Tell the other side that there is no room, on fronts that have a word for it."""
+        raise NotImplementedError
 
     def dataReceived(self, data: bytes) -> None:  # noqa: D102
         if self._broken or self.name is None:
@@ -160,6 +159,21 @@
         """Tell whether no further connection fits: descriptors are bounded, and others need theirs."""
         return len(self.connections) >= self.most
 
+    def tells_full(self) -> bool:
+        """Tell whether a connection for which there is no room is still told so."""
+        return False
+
+    def buildProtocol(self, addr: Any) -> C | None:
+        """Take a connection; one for which there is no room is closed before it gets any further.
+
+        Were it taken and then cut off, a burst would hold descriptors that calls need.
+        """
+        if self.full():
+            self.post(RequestRejected(self.name_of(0), "too many connections"))
+            if not self.tells_full():
+                return None
+        return super().buildProtocol(addr)  # type: ignore[return-value]
+
     def name_of(self, number: int) -> ConnectionId:
         """Return a connection's name; 0 stands for one that was not admitted."""
         return ConnectionId(self.kind, number)
--- a/sagetrestle/net/transport/scgi_front.py
+++ b/sagetrestle/net/transport/scgi_front.py
@@ -42,12 +42,8 @@
         super().connectionMade()
 
     def turn_down(self) -> None:
-        """Say that there is no room, and when to come back; a flood is only cut off."""
-        if len(self.factory.turned_down) >= self.factory.most_turned_down:
-            super().turn_down()
-            return
+        """Say that there is no room, and when to come back."""
         self.factory.turned_down.add(self)
-        self.factory.post(RequestRejected(self.factory.name_of(0), "too many connections"))
         self.transport.write(scgi.encode_response(*to_response(Refused(NO_ROOM_US), None)))
         self.transport.loseWriteConnection()
         self.factory.reactor.callLater(LINGER_S, self.transport.abortConnection)
@@ -158,6 +154,10 @@
         self._settings, self._held_kb = settings, held_kb
         self._ids = random.Random(seed)
 
+    def tells_full(self) -> bool:
+        """Tell some that there is no room; a flood is only cut off."""
+        return len(self.turned_down) < self.most_turned_down
+
     def take(self, connection: ConnectionId, request: scgi.ScgiRequest) -> None:
         """Hand a request to the core."""
         call = read_call(request, self._settings)
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from twisted.internet import error
+from twisted.internet.protocol import Protocol
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
@@ -392,8 +393,11 @@
         return self.moved
 
     def connect(self, front: str) -> Wire:
-        """Connect to a front."""
-        return Wire(self.scorer.fronts[front].buildProtocol(None))
+        """Connect to a front; one that does not take the connection closes it."""
+        protocol = self.scorer.fronts[front].buildProtocol(None)
+        wire = Wire(protocol or Protocol())
+        wire.connected = protocol is not None
+        return wire
 
     def accept(self, at: int = -1) -> Wire:
         """Take a connection that the scorer sets up: the latest, or the one at a place."""
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -270,6 +270,13 @@
             with self.subTest(text), self.assertRaisesRegex(config.ConfigError, says):
                 self.read(scgi=text)
 
+    def test_what_a_reload_leaves_is_named_as_in_the_file(self):
+        """Addresses move; of other changes those on call are told that they take a restart."""
+        old = self.read()
+        self.assertEqual((), config.fixed_fields(old, self.read(kernel="127.0.0.1:9")))
+        limits = {"memory_mb": 64, "sockets": 384}
+        self.assertEqual(("stop_ms", "limits"), config.fixed_fields(old, self.read(stop_ms=1, limits=limits)))
+
     def start(self, path):
         env = {**os.environ, "ROUTER_CONFIG": str(path)}
         return subprocess.run([sys.executable, "-B", "-m", "sagetrestle"], cwd=ROOT, env=env,
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -273,6 +273,14 @@
         self.assertFalse(silent[0].connected)
         self.assertTrue(silent[-1].connected)
 
+    def test_over_its_room_a_front_takes_no_connection_at_all(self):
+        """Taken in to be cut off, each of a burst held a descriptor for a while."""
+        front = self.world.scorer.fronts["thrift"]
+        taken = [self.world.connect("thrift") for _ in range(front.most)]
+        self.assertFalse(self.world.connect("thrift").connected)
+        self.assertEqual(front.most, len(front.connections))
+        self.assertTrue(taken[-1].connected)
+
     def test_no_more_requests_are_held_than_there_is_memory_for(self):
         """The memory that a request books is the caller's word; the program's own is the platform's."""
         state = self.world.scorer.loop.state
