In a full front have what was used longest ago leave, once the inputs of the turn are taken

The cause was older: fronts.opened asked for the close as soon as it saw the newcomer, while a request of the closed connection, read in the same turn, was taken and run. A test plays just that. Now the close waits for the end of the turn, as for idle connections, which skips those with an open request. A front end whose request came late, or before the kernel was up, counts as proven, so its connection is asked to leave and not cut.

--- a/sagetrestle/net/routing/chores.py
+++ b/sagetrestle/net/routing/chores.py
@@ -124,7 +124,7 @@
             one.leaving_at = turn.now
             if one.proven:
                 turn.effects.append(AskToLeave(name))
-        elif one.leaving_at is not None and turn.now - one.leaving_at >= (LEAVING_US if one.proven else 1):
+        elif one.leaving_at is not None and turn.now - one.leaving_at >= (LEAVING_US if one.proven else 0):
             turn.effects.append(CloseConnection(name))
     turn.state.keys.sweep(turn.now)
     turn.state.chores["idle"] = turn.now + IDLE_EVERY_US
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -4,7 +4,7 @@
 
 from sagetrestle.interface import Arrived, Gone
 from sagetrestle.net.routing import inputs
-from sagetrestle.net.routing.effects import CloseConnection, Doubt, SendAnswer, SendHealth
+from sagetrestle.net.routing.effects import AskToLeave, CloseConnection, Doubt, SendAnswer, SendHealth
 from sagetrestle.net.routing.state import Connection, Entry
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import (
@@ -13,25 +13,38 @@
 
 MAX_OPEN = 32  # requests open on one connection
 AHEAD_US = 1_000_000  # a stamp may be ahead of the clock, as both are rounded; none is by this much
-FULL_SHARE = 0.75  # of a front's room, from which connections that never sent a request make room
+FULL_SHARE = 0.75  # of a front's room, from which connections with nothing open make room
 NO_ROOM_US = 1_000_000  # how long to stay away when too many requests are held
 NOT_UP_US = 1_000_000  # how long to stay away while the kernel is not up
 NOTED = (ConnectionEnd.MALFORMED, ConnectionEnd.TOO_LARGE, ConnectionEnd.TIMED_OUT)
 
 
 def opened(turn: Turn, item: inputs.ConnectionOpened) -> None:
-    """Take a connection in; in a full front one that never sent a valid request goes, the oldest first."""
+    """Take a connection in; in a full front one on which nothing is open makes room for it."""
     connections, front = turn.state.connections, item.connection.front
-    own = [name for name in connections if name.front == front]
-    if len(own) >= FULL_SHARE * turn.state.plan.bounds.connections[front]:
-        idle = next((name for name in own if not connections[name].proven
-                     and connections[name].leaving_at is None), None)
-        if idle is not None:
-            connections[idle].leaving_at = turn.now
-            turn.effects.append(CloseConnection(idle))
+    count = sum(name.front == front for name in connections)
+    if count >= FULL_SHARE * turn.state.plan.bounds.connections[front]:
+        _make_room(turn, front)
     connections[item.connection] = Connection(used_at=turn.now)
 
 
+def _make_room(turn: Turn, front: str) -> None:
+    """Have what never sent a valid request go, the oldest first, or else what was used longest ago.
+
+    Callers that ask once and keep their connection for good fill a front as surely as silent ones do, and
+    then newcomers are turned away with their requests. It is closed as an idle one is, when the inputs of
+    this turn were all taken: closed here, a request read in this very turn would lose its connection.
+    """
+    idle = [(one.proven, one.used_at, name) for name, one in turn.state.connections.items()
+            if name.front == front and not one.open and one.leaving_at is None]
+    if idle:
+        proven, _, name = min(idle)
+        turn.state.connections[name].leaving_at = turn.now
+        turn.state.chores["idle"] = turn.now
+        if proven:  # a request may be on its way on it
+            turn.effects.append(AskToLeave(name))
+
+
 def ended(turn: Turn, item: inputs.ConnectionEnded) -> None:
     """Let a connection go; nobody waits for what is open on it."""
     connection = turn.state.connections.pop(item.connection, None)
@@ -76,17 +89,20 @@
         return
     connection.used_at = turn.now
     if state.policy is None:
+        connection.proven = True
         _answer_now(turn, request, Refused(NOT_UP_US))
     elif stamp > turn.now + AHEAD_US:
         _doubtful(turn, request, "its stamp is ahead of the clock", Failed())
     elif turn.now > stamp + state.plan.settings.classes[request.cls].deadline_us:
         # Told of these, the module would take a stamp from long ago for a long wait unread.
+        connection.proven = True
         _answer_now(turn, request, Failed(FailCause.OVERDUE))
     elif request.id in state.entries:
         _doubtful(turn, request, "it came before under this id", Failed())
     elif state.keys.conflicts(request, turn.now):
         _doubtful(turn, request, "its key came before with another body", Failed(FailCause.CONFLICT))
     elif len(state.entries) >= state.plan.bounds.requests:
+        connection.proven = True
         _answer_now(turn, request, Refused(NO_ROOM_US))
     else:
         connection.proven = True
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -273,6 +273,38 @@
         self.assertFalse(silent[0].connected)
         self.assertTrue(silent[-1].connected)
 
+    def test_in_a_full_front_the_idle_connection_used_longest_ago_makes_room(self):
+        """Callers that asked once and stayed filled the front, and newcomers lost their requests."""
+        state = self.world.scorer.loop.state
+        state.plan = replace(state.plan, bounds=state.plan.bounds._replace(connections={"thrift": 8}))
+        self.play("thrift send status\n wait 50\n thrift2 send status")
+        status = self.world.actors["thrift2"].wire
+        others = [self.world.connect("thrift") for _ in range(4)]
+        self.world.settle()
+        for one in state.connections.values():
+            one.proven = True
+        self.play("wait 250")
+        self.world.connect("thrift")
+        self.world.settle()
+        self.play("thrift expect leaving")
+        self.assertTrue(self.world.actors["thrift"].wire.connected)  # a request may be on its way on it
+        self.play("wait 1300\n thrift expect closed")
+        self.assertTrue(status.connected and all(one.connected for one in others))
+
+    def test_what_makes_room_keeps_its_connection_if_its_request_was_read_in_the_same_turn(self):
+        """Closed as soon as a newcomer was seen, a request that had been read was run and its answer lost."""
+        state = self.world.scorer.loop.state
+        state.plan = replace(state.plan, bounds=state.plan.bounds._replace(connections={"thrift": 1}))
+        self.world.actors["thrift"].wire.take()
+        self.world.settle()
+        self.world.connect("thrift")
+        self.world.actors["thrift"].send("a", "quick-check")
+        self.play("""
+            wait 4
+            kernel expect SCHED a
+            kernel send done a result
+            thrift expect a served result""")
+
     def test_over_its_room_a_front_takes_no_connection_at_all(self):
         """Taken in to be cut off, each of a burst held a descriptor for a while."""
         front = self.world.scorer.fronts["thrift"]
