--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build run sim test lint
+.PHONY: build run sim test lint demo
 
 build:
 	test -f .venv/ready || (python3 -m venv --clear .venv && .venv/bin/pip -q install -r requirements.txt && touch .venv/ready)
@@ -9,13 +9,16 @@
 sim: build
 	exec .venv/bin/python -B -m sagetrestle.wirehost
 
-.venv-ci/ready: requirements.txt requirements-dev.txt
+.venv-ci/ready: requirements.txt requirements-full.txt requirements-dev.txt
 	python3 -m venv --clear .venv-ci
 	.venv-ci/bin/pip -q install -r requirements-dev.txt
 	touch $@
 
+demo: .venv-ci/ready
+	.venv-ci/bin/python -B -m sagetrestle demo
+
 test: .venv-ci/ready
 	PYTHONDONTWRITEBYTECODE=1 .venv-ci/bin/python -m pytest
 
 lint: .venv-ci/ready
-	.venv-ci/bin/ruff check --no-cache sagetrestle tests
+	.venv-ci/bin/ruff check --no-cache sagetrestle tests benchmarks
--- a/sagetrestle/__main__.py
+++ b/sagetrestle/__main__.py
@@ -1,8 +1,10 @@
-"""Start one real scorer: ``python -m sagetrestle``."""
+"""Start one real scorer: ``python -m sagetrestle``; with words after it, the command line."""
 
 import sys
 
-from sagetrestle.net.program.main import main
-
 if __name__ == "__main__":
+    if len(sys.argv) > 1:  # the platform gives none, and its scorer has no room for the libraries
+        from sagetrestle.cli.main import main
+    else:
+        from sagetrestle.net.program.main import main
     sys.exit(main())
--- /dev/null
+++ b/sagetrestle/lab/kernel.py
@@ -0,0 +1,139 @@
+"""An emulated kernel: a few shared cores of known speed, and a record of all that ran on them."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import random
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import NamedTuple
+
+STEP_S = 0.004
+
+
+class Started(NamedTuple):
+    """One run as the kernel was told of it; ``at`` is the monotonic clock's, in seconds."""
+
+    call: str
+    cls: str
+    body: bytes
+    at: float
+
+
+class Ended(NamedTuple):
+    """The end of one run."""
+
+    call: str
+    how: str
+    at: float
+
+
+@dataclass
+class _Run:
+    left_s: float
+    calls_at_s: list[float]  # of the work left, the next one last
+    paused: bool = False
+    calling: bool = False
+
+
+class EmulatedKernel:
+    """Runs requests on shared cores; with more of them running than cores, each gets its part.
+
+    ``work_s`` is the work of every class, or that of each by its name; ``calls`` how many calls a run of a
+    class makes. Work is spread evenly from half to one and a half times the mean, by the seed.
+    """
+
+    def __init__(self, cores: int = 2, work_s: float | Mapping[str, float] = 0.03,
+                 calls: Mapping[str, float] | None = None, seed: int = 1, spread: float = 0.0) -> None:
+        self.cores, self._work_s, self._calls = cores, work_s, calls or {}
+        self._rng, self._spread = random.Random(seed), spread
+        self._runs: dict[str, _Run] = {}
+        self.starts: list[Started] = []
+        self.ends: list[Ended] = []
+        self.preempted = asyncio.Event()
+        self.serial, self.busy_s = 0, 0.0
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one link; a newer one takes its place."""
+        self._writer = writer
+        work = asyncio.create_task(self._work())
+        while line := await reader.readline():
+            self._take(json.loads(line))
+        work.cancel()
+        writer.close()
+
+    def _take(self, got: dict[str, str]) -> None:
+        call = got.get("call", "")
+        run = self._runs.get(call)
+        match got["msg"]:
+            case "OPEN":
+                self._tell(msg="BOOTED", how="seasoned", duration=3_600_000)
+            case "SYSINFO":
+                use = min(1.0, len(self._on_cores()) / self.cores)
+                self._tell(msg="INFO", cookie=got["cookie"], stats=[use, len(self._on_cores()), 0.1, 5])
+            case "SCHED" if run is None:
+                self._start(call, got["service"], base64.b64decode(got["blob"]))
+            case "RESCHED" if run is not None:
+                run.paused = False
+            case "PREEMPT" if run is not None and not run.paused and not run.calling:
+                run.paused = True
+                self.preempted.set()
+                self._end(call, "aborted", b"")
+            case "IODONE" if run is not None:
+                run.calling = False
+
+    def _start(self, call: str, cls: str, body: bytes) -> None:
+        self.starts.append(Started(call, cls, body, time.monotonic()))
+        mean = self._work_s[cls] if isinstance(self._work_s, Mapping) else self._work_s
+        work = mean * self._rng.uniform(1 - self._spread, 1 + self._spread)
+        often = self._calls.get(cls, 0.0)
+        count = int(often) + (self._rng.random() < often % 1)
+        self._runs[call] = _Run(work, sorted(self._rng.uniform(0.1, 0.9) * work for _ in range(count)))
+
+    def _on_cores(self) -> list[str]:
+        return [call for call, run in self._runs.items() if not run.paused and not run.calling]
+
+    async def _work(self) -> None:
+        before = time.monotonic()
+        while True:
+            await asyncio.sleep(STEP_S)
+            now = time.monotonic()
+            running = self._on_cores()
+            share = (now - before) * min(1.0, self.cores / max(1, len(running)))
+            before = now
+            self.busy_s += share * len(running)
+            for call in running:
+                self._go_on(call, share)
+
+    def _go_on(self, call: str, share: float) -> None:
+        run = self._runs[call]
+        run.left_s -= share
+        if run.calls_at_s and run.left_s <= run.calls_at_s[-1]:
+            run.calls_at_s.pop()
+            run.calling = True
+            self.serial += 1
+            self._tell(msg="IOREQ", serial=self.serial, call=call, blob=base64.b64encode(b"call").decode())
+        elif run.left_s <= 0:
+            del self._runs[call]
+            self._end(call, "done", b"result of " + call.encode())
+
+    def _end(self, call: str, how: str, blob: bytes) -> None:
+        if how == "done":
+            self.ends.append(Ended(call, how, time.monotonic()))
+        self.serial += 1
+        self._tell(msg="REAP", serial=self.serial, call=call, how=how, duration=1,
+                   blob=base64.b64encode(blob).decode())
+
+    def _tell(self, **notice: object) -> None:
+        if self._writer is not None:
+            self._writer.write(json.dumps(notice).encode() + b"\n")
+
+
+async def listen(serve: Callable[..., object]) -> tuple[asyncio.Server, int]:
+    """Serve connections on a free port of loopback, and return the port."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)  # type: ignore[arg-type]
+    return server, server.sockets[0].getsockname()[1]
--- /dev/null
+++ b/sagetrestle/lab/ledger.py
@@ -0,0 +1,52 @@
+"""An emulated ledger, which takes a call for a time and replies, and the roster's ear."""
+
+from __future__ import annotations
+
+import asyncio
+
+
+class EmulatedLedger:
+    """Answers calls after ``takes_s``, at most ``slots`` at once; what comes above waits in line."""
+
+    def __init__(self, takes_s: float = 0.01, slots: int = 64) -> None:
+        self.takes_s, self.calls = takes_s, 0
+        self._slots = asyncio.Semaphore(slots)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        open_calls: set[asyncio.Task[None]] = set()
+        try:
+            while line := await reader.readline():
+                words = line.split()
+                if words[0] == b"post":
+                    body = await reader.readexactly(int(words[3]) + 2)
+                    task = asyncio.create_task(self._answer(words[1], body[:-2], writer))
+                    open_calls.add(task)
+                    task.add_done_callback(open_calls.discard)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            for task in open_calls:
+                task.cancel()
+            writer.close()
+
+    async def _answer(self, id: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+        async with self._slots:
+            await asyncio.sleep(self.takes_s)
+        self.calls += 1
+        writer.write(b"%s posted %d\r\n%s\r\n" % (id, len(body), body))
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Keeps what came, as the roster keeps reports."""
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[bytes] = asyncio.Queue()
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Keep a datagram."""
+        self.queue.put_nowait(data)
+
+    def taken(self) -> list[bytes]:
+        """Return all that came."""
+        return [self.queue.get_nowait() for _ in range(self.queue.qsize())]
--- a/sagetrestle/net/program/clock.py
+++ b/sagetrestle/net/program/clock.py
@@ -12,15 +12,15 @@
     def __init__(self, monotonic_ns: Callable[[], int] = time.monotonic_ns,
                  unix_ns: Callable[[], int] = time.time_ns) -> None:
         self._monotonic_ns, self._unix_ns = monotonic_ns, unix_ns
-        self._ahead = 0
+        self.ahead = 0  # of the Unix clock, at the last reading
         self.read()
 
     def read(self) -> int:
         """Return the time of this turn, and note how far ahead the Unix clock is."""
         now = self._monotonic_ns() // 1000
-        self._ahead = self._unix_ns() // 1000 - now
+        self.ahead = self._unix_ns() // 1000 - now
         return now
 
     def from_unix_ms(self, stamp: int) -> int:
         """Return a Unix time in milliseconds on the monotonic clock."""
-        return stamp * 1000 - self._ahead
+        return stamp * 1000 - self.ahead
--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -7,14 +7,17 @@
 import re
 import tomllib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from sagetrestle.net.program.limits import LEAST, Limits, derive
 from sagetrestle.net.routing.values import Address, Peers, Plan
 from sagetrestle.wirehost import read_settings
 
+if TYPE_CHECKING:
+    from sagetrestle.net.program.identity import IdentityConfig
+
 SCGI_KEYS = {"listen", "dns_listen", "domain", "instance", "held_kb"}
 
 
@@ -42,6 +45,9 @@
     peers: Peers
     plan: Plan
     scgi: ScgiConfig | None = None
+    identity: IdentityConfig | None = None
+    scgis: Address | None = None  # the SCGI front with TLS, which identity.toml sets
+    limits: Limits = LEAST
 
 
 # What a reload leaves as it is, by the names that the files have for it.
@@ -49,6 +55,7 @@
     "name": lambda one: one.name, "listen": lambda one: one.listen, "seed": lambda one: one.plan.seed,
     "stop_ms": lambda one: one.plan.stop_us, "limits": lambda one: one.plan.bounds,
     "settings": lambda one: (one.plan.settings, one.plan.gauges), "scgi.toml": lambda one: one.scgi,
+    "identity.toml": lambda one: (one.identity and one.identity.file, one.scgis),
 }
 
 
@@ -57,8 +64,35 @@
     return tuple(name for name, read in FIXED.items() if read(old) != read(new))
 
 
-def read_config(env: Mapping[str, str], scgi_file: Path) -> Config:
+def read_config(env: Mapping[str, str], scgi_file: Path, identity_file: Path | None = None) -> Config:
     """Read the file that the environment names; name and address in the environment go first."""
+    config = _read_platform(env, scgi_file)
+    return _with_identity(config, identity_file) if identity_file and identity_file.exists() else config
+
+
+def _with_identity(config: Config, path: Path) -> Config:
+    """Add what the operators' file of identity says; its libraries are loaded only here."""
+    try:
+        from sagetrestle.net.program import identity
+    except ImportError as error:
+        raise ConfigError(f"{path.name}: needs requirements-full.txt: {error}") from None
+    settings = config.plan.settings
+    try:
+        found = identity.load_identity(path, frozenset(cls.name for cls in settings.classes))
+    except identity.IdentityError as error:
+        raise ConfigError(str(error)) from None
+    if found is None:
+        return config
+    tls, limits = found.file.tls, config.limits
+    listen = tls and _loopback({"tls.listen": tls.listen}, "tls.listen", f"{path.name}: ")
+    dns = config.scgi is not None and config.scgi.dns_listen is not None
+    bounds = derive(limits, config.scgi is not None, dns, listen is not None)
+    plan = replace(config.plan, settings=identity.with_tenants(settings, found), bounds=bounds)
+    return replace(config, plan=plan, identity=found, scgis=listen)
+
+
+def _read_platform(env: Mapping[str, str], scgi_file: Path) -> Config:
+    """Read what the platform tells, and the second front's file."""
     path = env.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG: not set")
@@ -73,7 +107,7 @@
         told["listen"] = env["ROUTER_LISTEN"]
     peers = Peers(_address(told, "kernel"), _address(told, "ledger"), _address(told, "roster"))
     scgi = read_scgi(scgi_file, name)
-    return Config(name, _address(told, "listen"), peers, _plan(told, scgi), scgi)
+    return Config(name, _address(told, "listen"), peers, _plan(told, scgi), scgi, limits=_limits(told))
 
 
 def read_scgi(path: Path, name: str) -> ScgiConfig | None:
@@ -100,11 +134,11 @@
     return ScgiConfig(_loopback(told, "listen"), dns, domain, instance, float(held))
 
 
-def _loopback(told: dict[str, Any], name: str) -> Address:
+def _loopback(told: dict[str, Any], name: str, where: str = "scgi.toml: ") -> Address:
     """Read an address of the second front, which listens on loopback only."""
-    host, port = _address(told, name, "scgi.toml: ")
+    host, port = _address(told, name, where)
     if not ipaddress.ip_address(host).is_loopback:
-        raise ConfigError(f"scgi.toml: {name}: not a loopback address")
+        raise ConfigError(f"{where}{name}: not a loopback address")
     return host, port
 
 
--- a/sagetrestle/net/program/limits.py
+++ b/sagetrestle/net/program/limits.py
@@ -24,12 +24,14 @@
 REQUESTS_PER_MB, RESULTS_SHARE = 24, 0.1  # a held request takes some 6 KiB: a seventh of the memory at most
 
 
-def derive(limits: Limits, scgi: bool, dns: bool) -> Bounds:
-    """Return the bounds; those of the fronts are what the others leave."""
+def derive(limits: Limits, scgi: bool, dns: bool, scgis: bool = False) -> Bounds:
+    """Return the bounds; those of the fronts are what the others leave, SCGI with TLS half of SCGI's."""
     calls = min(CALLS_MOST, int(limits.sockets * CALLS_SHARE))
     fronts = limits.sockets - OWN - calls - (DNS if dns else 0)
-    second = int(fronts * SCGI_SHARE) if scgi else 0
+    second = int(fronts * SCGI_SHARE) if scgi or scgis else 0
     turned_down = int(second * TURNED_DOWN_SHARE)
-    rooms = {"thrift": fronts - second, "scgi": second - turned_down}
+    room = second - turned_down
+    secure = (room // 2 if scgi else room) if scgis else 0
+    rooms = {"thrift": fronts - second, "scgi": room - secure, "scgis": secure}
     return Bounds(rooms, turned_down, DNS, calls, int(limits.memory_mb * REQUESTS_PER_MB),
                   int(limits.memory_mb * RESULTS_SHARE * (1 << 20)))
--- a/sagetrestle/net/program/loop.py
+++ b/sagetrestle/net/program/loop.py
@@ -51,7 +51,7 @@
         self.now = self._clock.read()
         self._free_at = self._reactor.seconds() + GAP_S
         try:
-            effects = reduce(self.state, self.now, items)
+            effects = reduce(self.state, self.now, items, self._clock.ahead)
         except Exception as error:  # one bad turn must not end the process and all its requests
             self._failed(f"turn failed: {error!r}")
             effects = []
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import CannotListenError
 
@@ -32,10 +32,15 @@
 from sagetrestle.net.transport.scgi_front import ScgiFront
 from sagetrestle.net.transport.thrift_front import ThriftFront
 
+if TYPE_CHECKING:
+    from sagetrestle.net.program.identity import IdentityConfig
+    from sagetrestle.net.transport.credentials import CredentialReader
+
 BACKLOG = 512
 COLLECT = (5_000, 10, 10)  # almost nothing here is part of a cycle: looking for them seldom is enough
 EXIT_AFTER_S = 0.03  # for the last answers to leave their sockets
-SCGI_FILE = Path("deploy/scgi.toml")
+SCGI_FILE, IDENTITY_FILE = Path("deploy/scgi.toml"), Path("deploy/identity.toml")
+LOG_FILE = Path("deploy/log.toml")
 
 
 class Scorer:
@@ -44,8 +49,9 @@
     def __init__(self, reactor: Any, config: Config, logger: Any, clock: Clock,
                  reread: Callable[[], Config]) -> None:
         self.reactor, self.config, self._reread = reactor, config, reread
-        self.loop = TurnLoop(reactor, clock, new_state(config.plan), self.perform, self._failed)
-        self._log = log.BoundedLog(logger.info, lambda: self.loop.now)
+        guard = config.identity.guard() if config.identity else None
+        self.loop = TurnLoop(reactor, clock, new_state(config.plan, guard), self.perform, self._failed)
+        self._log = log.BoundedLog(logger.info, lambda: self.loop.now, fields=hasattr(logger, "bind"))
         post = self.loop.post
         bounds = config.plan.bounds
         self.thrift = ThriftFront(
@@ -56,13 +62,38 @@
         self.roster = Roster(config.name)
         self.dns: DnsResponder | None = None
         self.exit_code = 0
+        self._tls: Any = None
+        self._watch: Any = None
+        credentials = None
+        if config.identity:
+            credentials = self._add_identity(config.identity, post)
         if config.scgi:
-            self._add_scgi(config.scgi, post)
+            self._add_scgi("scgi", config.scgi.held_kb, post, credentials)
 
-    def _add_scgi(self, scgi: ScgiConfig, post: Post) -> None:
+    def _add_scgi(self, kind: str, held_kb: float, post: Post, credentials: Any) -> None:
         plan = self.config.plan
-        self.fronts["scgi"] = ScgiFront(
-            self.reactor, plan.settings, post, plan.bounds, scgi.held_kb, plan.seed)
+        self.fronts[kind] = ScgiFront(
+            self.reactor, plan.settings, post, plan.bounds, held_kb, plan.seed, kind, credentials)
+
+    def _add_identity(self, identity: IdentityConfig, post: Post) -> CredentialReader:
+        """Set up what identity needs; its libraries are loaded only here."""
+        from twisted.internet.threads import deferToThreadPool
+
+        from sagetrestle.net.program.identity import IdentityWatch
+        from sagetrestle.net.transport.credentials import CredentialReader
+        credentials = CredentialReader(frozenset(identity.file.trusted_peers))
+        self.thrift.maps = True
+        if self.config.scgis:
+            from sagetrestle.net.transport.tls import TlsFront
+            self._tls = TlsFront(identity.paths())
+            held = self.config.scgi.held_kb if self.config.scgi else ScgiConfig.held_kb
+            self._add_scgi("scgis", held, post, credentials)
+        classes = frozenset(cls.name for cls in self.config.plan.settings.classes)
+        reactor = self.reactor
+        self._watch = IdentityWatch(
+            reactor, identity, classes, post,
+            lambda load: deferToThreadPool(reactor, reactor.getThreadPool(), load), self._tls)
+        return credentials
 
     def start(self) -> None:
         """Begin with the first turn."""
@@ -96,8 +127,8 @@
                 self.kernel.write(kernel_wire.encode_sysinfo(cookie))
             case fx.Report(on):
                 self.roster.report(on)
-            case fx.WriteLog(text):
-                self._log.line(text)
+            case fx.WriteLog(text, fields):
+                self._log.line(text, fields)
             case _:
                 self._perform_seldom(effect)
 
@@ -140,6 +171,10 @@
             self._open(self.thrift, host, port)
             if self.config.scgi:
                 self._listen_scgi(self.config.scgi)
+            if self.config.scgis:
+                self._open(self.fronts["scgis"], *self.config.scgis)
+            if self._watch:
+                self._watch.start()
         except CannotListenError as error:
             self._log.line(f"can not listen: {error}")
             self.exit_code = 1
@@ -158,7 +193,10 @@
 
     def _open(self, front: Front[Any], host: str, port: int) -> int:
         """Take a front's listening socket and return its port, which the machine chose if it was 0."""
-        front.port = self.reactor.listenTCP(port, front, backlog=BACKLOG, interface=host)
+        if front.kind == "scgis":
+            front.port = self.reactor.listenSSL(port, front, self._tls.context, BACKLOG, host)
+        else:
+            front.port = self.reactor.listenTCP(port, front, backlog=BACKLOG, interface=host)
         got = front.port.getHost().port
         self._listens(front.kind, host, got)
         return got
@@ -186,11 +224,11 @@
 def main() -> int:
     """Run one scorer until it is told to leave."""
     signals.ignore_reload()
-    logger = log.set_up()
-    reread = partial(read_config, os.environ, SCGI_FILE)
+    reread = partial(read_config, os.environ, SCGI_FILE, IDENTITY_FILE)
     try:
+        logger = log.set_up(log.read_form(LOG_FILE))
         config = reread()
-    except ConfigError as error:
+    except (ConfigError, ValueError) as error:
         print(f"sagetrestle: {error}", file=sys.stderr)
         return 2
     from twisted.internet import reactor
--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -8,6 +8,7 @@
 
 from sagetrestle import interface as face
 from sagetrestle.interface import Outcome, RunEnded
+from sagetrestle.net.routing import access
 from sagetrestle.net.routing.effects import Announce, CommandRun, PostCall, Report
 from sagetrestle.net.routing.state import Entry, Phase
 from sagetrestle.net.routing.turn import Turn
@@ -36,6 +37,7 @@
     elif entry.phase is Phase.HELD:
         entry.phase, entry.ran = Phase.RUNNING, True
         turn.state.keys.started(entry.request)
+        access.started(turn, entry)
         name = turn.state.plan.settings.classes[entry.request.cls].name
         turn.command(entry, CommandRun(CommandKind.START, action.id, name, entry.request.body))
 
--- a/sagetrestle/net/routing/chores.py
+++ b/sagetrestle/net/routing/chores.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from sagetrestle.interface import Drain, Gone
-from sagetrestle.net.routing import inputs, runs
+from sagetrestle.net.routing import access, fronts, inputs, runs
 from sagetrestle.net.routing.actions import set_health
 from sagetrestle.net.routing.effects import (
     AskGauges, AskToLeave, CloseConnection, Exit, Listen, Report, StopListening, UseLedger, UseRoster,
@@ -34,6 +34,8 @@
     turn.effects += [Listen(), UseLedger(item.peers.ledger), UseRoster(item.peers.roster)]
     runs.connect(turn)
     turn.state.chores.update(report=turn.now, gauges=turn.now, overdue=turn.now, idle=turn.now)
+    if turn.state.guard is not None:
+        turn.state.chores["keys"] = turn.now
 
 
 def reconfigured(turn: Turn, item: inputs.Reconfigured) -> None:
@@ -103,6 +105,7 @@
             turn.answer(entry, turn.failure(entry))
             turn.events.append(Gone(entry.request.id))
             turn.give_up(entry)
+    access.answer_overdue(turn)
     turn.state.chores["overdue"] = turn.now + OVERDUE_EVERY_US
 
 
@@ -144,7 +147,8 @@
         if one.leaving_at is None:
             one.leaving_at = turn.now
             turn.effects.append(AskToLeave(name))
-    if turn.now >= drain.exit_at or not (state.connections or any(e.owed for e in state.entries.values())):
+    owed = state.unverified or any(entry.owed for entry in state.entries.values())
+    if turn.now >= drain.exit_at or not (state.connections or owed):
         _exit(turn)
     else:
         state.chores["drain"] = min(drain.exit_at, turn.now + DRAIN_EVERY_US)
@@ -156,12 +160,13 @@
         turn.answer(entry, Failed())
     turn.state.chores.clear()
     turn.state.exited = True
+    access.answer_overdue(turn)
     turn.effects.append(Exit())
 
 
 CHORES: dict[str, Callable[[Turn], None]] = {
     "kernel": _connect, "report": _report, "gauges": _ask_gauges, "overdue": _answer_overdue,
-    "idle": _close_idle, "drain": _drain,
+    "idle": _close_idle, "drain": _drain, "verify": fronts.verify, "keys": access.tick,
 }
 
 
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -117,9 +117,10 @@
 
 
 class WriteLog(NamedTuple):
-    """A line for the people on call."""
+    """A line for the people on call; ``fields`` are what it says, for logs that machines read."""
 
     text: str
+    fields: tuple[tuple[str, str], ...] = ()
 
 
 class Exit(NamedTuple):
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from sagetrestle.identity.values import Verdict
 from sagetrestle.interface import Arrived, Gone
-from sagetrestle.net.routing import inputs
+from sagetrestle.net.routing import access, inputs
 from sagetrestle.net.routing.effects import AskToLeave, CloseConnection, Doubt, SendAnswer, SendHealth
 from sagetrestle.net.routing.state import Connection, Entry
 from sagetrestle.net.routing.turn import Turn
@@ -74,7 +75,7 @@
 
 
 def request_read(turn: Turn, item: inputs.RequestRead) -> None:
-    """Take a request in, tied to the try it repeats, and tell the module."""
+    """Take a request in where its form and time allow; where identity is on, its sender is judged first."""
     state = turn.state
     stamp = item.request.arrived or turn.now
     # A stamp ahead of the clock would stretch deadlines and windows.
@@ -99,23 +100,60 @@
         _answer_now(turn, request, Failed(FailCause.OVERDUE))
     elif request.id in state.entries:
         _doubtful(turn, request, "it came before under this id", Failed())
-    elif state.keys.conflicts(request, turn.now):
-        _doubtful(turn, request, "its key came before with another body", Failed(FailCause.CONFLICT))
-    elif len(state.entries) >= state.plan.bounds.requests:
+    elif len(state.entries) + len(state.unverified) >= state.plan.bounds.requests:
         connection.proven = True
         _answer_now(turn, request, Refused(NO_ROOM_US))
+    elif state.guard is None:
+        _known(turn, connection, request)
     else:
-        connection.proven = True
-        _take(turn, connection, request)
+        for judged, verdict in access.present(turn, request):
+            judge(turn, judged, verdict)
 
 
-def _take(turn: Turn, connection: Connection, request: Request) -> None:
+def judge(turn: Turn, request: Request, verdict: Verdict) -> None:
+    """Go on with a request whose sender was judged."""
+    connection = turn.state.connections.get(request.ticket.connection)
+    if connection is None:
+        return
+    if request.id in turn.state.entries:  # another came under its id while it waited for the verdict
+        _doubtful(turn, request, "it came before under this id", Failed())
+    elif verdict.tenant is None:
+        access.refuse(turn, request, verdict)
+    else:
+        _known(turn, connection, request._replace(tenant=verdict.tenant), verdict)
+
+
+def verify(turn: Turn) -> None:
+    """Judge some of the requests whose tokens wait to be verified."""
+    for request, verdict in access.verify_some(turn):
+        judge(turn, request, verdict)
+
+
+def _known(turn: Turn, connection: Connection, request: Request, verdict: Verdict | None = None) -> None:
+    """Take a request whose sender is known, or need not be, unless its key speaks against it."""
+    if turn.state.keys.conflicts(request, turn.now):
+        _doubtful(turn, request, "its key came before with another body", Failed(FailCause.CONFLICT))
+        return
+    connection.proven = True
+    reserved = False
+    if verdict is not None:
+        may, reserved = access.admit(turn, request, verdict)
+        if not may:
+            return
+    _take(turn, connection, request, verdict, reserved)
+
+
+def _take(turn: Turn, connection: Connection, request: Request, verdict: Verdict | None,
+          reserved: bool) -> None:
+    """Tie a request to the try it repeats, and tell the module."""
     repeats = turn.state.keys.arrive(request, turn.now)
     connection.open.add(request.ticket.seqid)
-    turn.state.entries[request.id] = Entry(request, repeats)
+    entry = Entry(request, repeats, verdict=verdict, reserved=reserved)
+    turn.state.entries[request.id] = entry
     turn.state.tickets[request.ticket] = request.id
     turn.events.append(Arrived(
-        request.id, request.cls, request.caller, request.held_kb, 0, 0, request.subject, request.hint_us,
+        request.id, request.cls, access.caller_of(request), request.held_kb, 0,
+        turn.state.groups.get(request.tenant, 0), access.subject_of(request), request.hint_us,
         request.rank, request.retry, max(0, turn.now - request.arrived), repeats,
     ))
 
@@ -134,6 +172,8 @@
 
 def _desert(turn: Turn, ticket: Ticket) -> None:
     """Tell the module that a caller left, and give up what the request holds."""
+    if turn.state.guard is not None and access.withdraw(turn, ticket):
+        return
     entry = turn.state.entries.get(turn.state.tickets.get(ticket, ""))
     if entry and entry.owed:
         turn.release(entry)
--- a/sagetrestle/net/routing/inputs.py
+++ b/sagetrestle/net/routing/inputs.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, Union
+from typing import TYPE_CHECKING, NamedTuple, Union
 
 from sagetrestle.net.routing.values import (
     CallVerdict, CommandKind, ConnectionEnd, ConnectionId, Peers, Request, RunEnd, Ticket,
 )
 
+if TYPE_CHECKING:
+    from sagetrestle.identity.judge import Snapshot
+
 
 class Started(NamedTuple):
     """The program is up, and reaches the others at these addresses."""
@@ -28,6 +31,19 @@
     why: str
 
 
+class IdentityRead(NamedTuple):
+    """The operators' files of identity changed and hold."""
+
+    snapshot: Snapshot
+    what: str
+
+
+class IdentityFailed(NamedTuple):
+    """A file of identity changed and can not be used; what was in force stays."""
+
+    why: str
+
+
 class StopAsked(NamedTuple):
     """The notice to leave came."""
 
@@ -156,7 +172,8 @@
 
 
 Input = Union[
-    Started, Reconfigured, ReloadFailed, StopAsked, ConnectionOpened, ConnectionEnded, RequestRead,
-    RequestRejected, Withdrawn, HealthAsked, KernelConnected, KernelLost, KernelBooted, RunOver, RunCalls,
-    GaugesRead, CommandRejected, KernelRemark, CallAnswered, CallBroken, LedgerLost,
+    Started, Reconfigured, ReloadFailed, IdentityRead, IdentityFailed, StopAsked, ConnectionOpened,
+    ConnectionEnded, RequestRead, RequestRejected, Withdrawn, HealthAsked, KernelConnected, KernelLost,
+    KernelBooted, RunOver, RunCalls, GaugesRead, CommandRejected, KernelRemark, CallAnswered, CallBroken,
+    LedgerLost,
 ]
--- a/sagetrestle/net/routing/keys.py
+++ b/sagetrestle/net/routing/keys.py
@@ -12,7 +12,8 @@
 from sagetrestle.interface import Effect, Settings
 from sagetrestle.net.routing.values import Request
 
-Key = tuple[str, int, str]
+Key = tuple[str, int, str, str]  # kind, class, tenant, and the key or subject
+NO_KEY: Key = ("", 0, "", "")
 MARGIN_US = 5_000  # ``s`` is in whole milliseconds and its rounding is the other side's
 LATE_READ_US = 15_000_000  # how long after its arrival a repeat may still be read: over any class's limit
 
@@ -51,12 +52,15 @@
     next_sweep: int = 0
 
     def key_of(self, request: Request) -> Key | None:
-        """Return the key that ties a request to its repeats, if it has one that counts."""
+        """Return the key that ties a request to its repeats, if it has one that counts.
+
+        The tenant is part of it: else one could read or join another's result by guessing a key.
+        """
         effect = self.settings.classes[request.cls].effect
         if effect is Effect.KEYED and request.key:
-            return ("keyed", request.cls, request.key)
+            return ("keyed", request.cls, request.tenant, request.key)
         if effect is Effect.SAFE and request.subject and self.settings.fresh_us:
-            return ("read", request.cls, request.subject)
+            return ("read", request.cls, request.tenant, request.subject)
         return None
 
     def conflicts(self, request: Request, now: int) -> bool:
@@ -102,7 +106,7 @@
 
     def forget(self, id: str) -> None:
         """Remove the entry, if it still stands for this try."""
-        state = self.keys.get(self.names.get(id, ("", 0, "")))
+        state = self.keys.get(self.names.get(id, NO_KEY))
         if state and state.holder == id:
             state.holder = None
         if state and state.ran != id:
@@ -120,11 +124,18 @@
 
     def never_ran(self, request: Request) -> None:
         """Take back that a try runs: the kernel did not start it, so its key is as if it had not come."""
-        state = self.keys.get(self.names.get(request.id, ("", 0, "")))
+        state = self.keys.get(self.names.get(request.id, NO_KEY))
         if state and state.ran == request.id:
             state.ran, state.ran_until = None, 0
         self.forget(request.id)
 
+    def ran_before(self, request: Request) -> bool:
+        """Tell whether a try with this key and body ran whose window holds this one's arrival."""
+        key = self.key_of(request)
+        state = self.keys.get(key) if key and key[0] == "keyed" else None
+        return bool(state and state.ran and request.arrived <= state.ran_until
+                    and state.digest == _digest(request.body))
+
     def may_start(self, request: Request) -> bool:
         """Tell whether no other try of a keyed request ran whose window holds this one's arrival."""
         key = self.key_of(request)
--- a/sagetrestle/net/routing/reducer.py
+++ b/sagetrestle/net/routing/reducer.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from sagetrestle.interface import Woke
-from sagetrestle.net.routing import calls, chores, fronts, inputs, runs
+from sagetrestle.net.routing import access, calls, chores, fronts, inputs, runs
 from sagetrestle.net.routing.actions import carry_out
 from sagetrestle.net.routing.effects import Effect
 from sagetrestle.net.routing.state import State
@@ -18,6 +18,8 @@
     inputs.Started: chores.started,
     inputs.Reconfigured: chores.reconfigured,
     inputs.ReloadFailed: chores.reload_failed,
+    inputs.IdentityRead: access.read,
+    inputs.IdentityFailed: access.failed,
     inputs.StopAsked: chores.stop_asked,
     inputs.ConnectionOpened: fronts.opened,
     inputs.ConnectionEnded: fronts.ended,
@@ -39,14 +41,17 @@
 }
 
 
-def reduce(state: State, now: int, items: Sequence[inputs.Input]) -> list[Effect]:
-    """Take what came in at ``now`` and return what is to be done, in order."""
-    turn = Turn(state, now)
+def reduce(state: State, now: int, items: Sequence[inputs.Input], ahead: int = 0) -> list[Effect]:
+    """Take what came in at ``now`` and return what is to be done, in order.
+
+    ``ahead`` is how far the Unix clock is ahead of that, for times that are told in Unix time.
+    """
+    turn = Turn(state, now, ahead)
     if state.exited:
         return []
     for item in items:
         _attempt(turn, HANDLERS[type(item)], item)
-    for step in (_wake, calls.give_up_late, _run_module, chores.run_chores, _run_module):
+    for step in (_wake, calls.give_up_late, _run_module, chores.run_chores, access.swap, _run_module):
         _attempt(turn, step)
     state.keys.end_turn()
     return turn.effects
--- a/sagetrestle/net/routing/runs.py
+++ b/sagetrestle/net/routing/runs.py
@@ -6,7 +6,7 @@
 
 from sagetrestle.interface import AtCall, Gauges, Gone, RunEnded
 from sagetrestle.logic import Policy
-from sagetrestle.net.routing import inputs
+from sagetrestle.net.routing import access, inputs
 from sagetrestle.net.routing.actions import carry_out
 from sagetrestle.net.routing.effects import AbandonCall, AskGauges, ConnectKernel, Doubt, OpenKernel
 from sagetrestle.net.routing.outcomes import run_outcome
@@ -178,6 +178,7 @@
         return
     if item.kind is CommandKind.START:  # it came to no kernel, so no front end of the platform sent it
         turn.state.keys.never_ran(entry.request)
+        access.never_ran(turn, entry)
         turn.effects.append(Doubt(entry.request.ticket.connection))
     turn.answer(entry, Failed())
     turn.over(entry)
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -4,13 +4,18 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TYPE_CHECKING
 
+from sagetrestle.identity.values import Verdict
 from sagetrestle.interface import Gauges
 from sagetrestle.logic import Policy
 from sagetrestle.net.routing.effects import CommandRun
 from sagetrestle.net.routing.keys import KeyTable
 from sagetrestle.net.routing.values import CommandKind, ConnectionId, Peers, Plan, Request, Ticket
 
+if TYPE_CHECKING:  # what is off is not loaded
+    from sagetrestle.identity.guard import Guard
+
 
 class Phase(Enum):
     """Where a request stands."""
@@ -46,6 +51,9 @@
     joined: list[str] = field(default_factory=list)
     call_body: bytes = b""
     call_from: int = 0
+    verdict: Verdict | None = None  # by which it was let in, where identity is on
+    reserved: bool = False  # within its tenant's spending cap, and not spent yet
+    spent: bool = False
 
 
 @dataclass(slots=True)
@@ -108,13 +116,17 @@
     gauges: Gauges = field(default_factory=Gauges)
     kernel: Kernel = field(default_factory=Kernel)
     drain: Drain | None = None
+    guard: Guard | None = None  # None: identity is off
+    unverified: dict[Ticket, Request] = field(default_factory=dict)
+    groups: dict[str, int] = field(default_factory=dict)  # tenants that the module weighs one by one
     healthy: bool = True
     value: float | None = None
     idle_us: int = 0
     exited: bool = False
 
 
-def new_state(plan: Plan) -> State:
+def new_state(plan: Plan, guard: Guard | None = None) -> State:
     """Return the state of a server that starts."""
     keys = KeyTable(plan.settings, most_bytes=plan.bounds.results)
-    return State(plan, keys, idle_us=plan.settings.idle_max_us)
+    groups = {one.name: at for at, one in enumerate(plan.settings.tenants)}
+    return State(plan, keys, idle_us=plan.settings.idle_max_us, guard=guard, groups=groups)
--- a/sagetrestle/net/routing/turn.py
+++ b/sagetrestle/net/routing/turn.py
@@ -11,14 +11,18 @@
 class Turn:
     """What the handlers of a turn share."""
 
-    def __init__(self, state: State, now: int) -> None:
-        self.state, self.now = state, now
+    def __init__(self, state: State, now: int, ahead: int = 0) -> None:
+        self.state, self.now, self._ahead = state, now, ahead
         self.effects: list[Effect] = []
         self.events: list[Event] = []
 
-    def log(self, text: str) -> None:
+    def unix(self, at: int | None = None) -> int:
+        """Return a time of this turn's clock, or its own, as Unix microseconds."""
+        return (self.now if at is None else at) + self._ahead
+
+    def log(self, text: str, **fields: str) -> None:
         """Ask for a line in the log."""
-        self.effects.append(WriteLog(text))
+        self.effects.append(WriteLog(text, tuple(fields.items())))
 
     def answer(self, entry: Entry, answer: Answer) -> None:
         """Give a request its answer, unless it has had one or nobody waits."""
@@ -46,6 +50,10 @@
         """Forget a request that is over, and answer those that waited for its result."""
         self.state.entries.pop(entry.request.id, None)
         self.state.calls.pop(entry.request.id, None)
+        if entry.reserved and self.state.guard is not None:
+            entry.reserved = False
+            self.state.guard.spending.give_back(
+                entry.request.tenant, (entry.request.cls, entry.request.key or ""))
         self.state.keys.finish(entry.request, result, self.now)
         for id in entry.joined:
             waiting = self.state.entries.get(id)
--- a/sagetrestle/net/routing/values.py
+++ b/sagetrestle/net/routing/values.py
@@ -6,9 +6,9 @@
 from enum import Enum
 from typing import NamedTuple, Union
 
+from sagetrestle.identity.values import Cause, Presented
 from sagetrestle.interface import Settings
 
-
 Address = tuple[str, int]
 
 
@@ -38,6 +38,8 @@
     """What any front makes of a request; times are microseconds on the program's clock.
 
     ``arrived`` is 0 where the wire does not tell it: then it is the turn in which the request was read.
+    ``presented`` is what it brings to prove who sent it, on fronts that take it; ``tenant`` is whom the core
+    found it to be from, and empty where nobody asks that.
     """
 
     ticket: Ticket
@@ -52,6 +54,8 @@
     retry: bool = False
     key: str | None = None
     subject: str | None = None
+    presented: Presented | None = None
+    tenant: str = ""
 
 
 class Served(NamedTuple):
@@ -67,6 +71,13 @@
     last: bool = False
 
 
+class Denied(NamedTuple):
+    """Turned away for who sent it: this try never ran. ``retry_after_us`` is 0 where time mends nothing."""
+
+    cause: Cause
+    retry_after_us: int = 0
+
+
 class FailCause(Enum):
     """Why a request failed, for fronts that can say so."""
 
@@ -81,7 +92,7 @@
     cause: FailCause = FailCause.RUN
 
 
-Answer = Union[Served, Refused, Failed]
+Answer = Union[Served, Refused, Denied, Failed]
 
 
 class ConnectionEnd(Enum):
--- a/sagetrestle/net/transport/scgi_front.py
+++ b/sagetrestle/net/transport/scgi_front.py
@@ -4,7 +4,7 @@
 
 import random
 import socket
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import connectionDone
@@ -12,17 +12,21 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from sagetrestle.identity.values import Presented
 from sagetrestle.interface import Settings
 from sagetrestle.net.protocol import scgi
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.routing.inputs import RequestRead, RequestRejected
-from sagetrestle.net.routing.values import Answer, Bounds, ConnectionId, Refused, Request, Ticket
+from sagetrestle.net.routing.values import Answer, Bounds, Refused, Request, Ticket
 from sagetrestle.net.transport.connection import Front, FrontConnection
 from sagetrestle.net.transport.ends import Post
 from sagetrestle.net.transport.scgi_mapping import (
     DEFAULT_RANK, Rejected, Response, fault_response, read_call, to_response,
 )
 
+if TYPE_CHECKING:
+    from sagetrestle.net.transport.credentials import CredentialReader
+
 NO_ROOM_US = 1_000_000
 LINGER_S = 1.0  # how long input is still read and dropped after a response that did not wait for it
 PROBE_EVERY_S = 0.1
@@ -45,10 +49,17 @@
         """Say that there is no room, and when to come back."""
         self.factory.turned_down.add(self)
         self.transport.write(scgi.encode_response(*to_response(Refused(NO_ROOM_US), None)))
-        self.transport.loseWriteConnection()
+        self._half_close()
         self.factory.reactor.callLater(LINGER_S, self.transport.abortConnection)
         self._responded = True
 
+    def _half_close(self) -> None:
+        """End the writing; over TLS that is the end of all, as its last record says so."""
+        if self.factory.secure:
+            self.transport.loseConnection()
+        else:
+            self.transport.loseWriteConnection()
+
     def read(self, data: bytes) -> None:  # noqa: D102
         if self._responded:
             return
@@ -66,7 +77,7 @@
 
     def _take(self, request: scgi.ScgiRequest) -> None:
         try:
-            self.factory.take(self.name, request)
+            self.factory.take(self, request)
         except Rejected as error:
             self.factory.post(RequestRejected(self.name, str(error)))
             self.respond(error.response)
@@ -82,7 +93,7 @@
             return
         self._write(fault_response(fault))
         self.transport.unregisterProducer()
-        self.transport.loseWriteConnection()
+        self._half_close()
         self.factory.reactor.callLater(LINGER_S, self._abort)
 
     def _abort(self) -> None:
@@ -147,25 +158,32 @@
     """
 
     def __init__(self, reactor: Any, settings: Settings, post: Post, bounds: Bounds, held_kb: float,
-                 seed: int) -> None:
-        super().__init__(reactor, "scgi", ScgiConnection, post, bounds.connections["scgi"])
+                 seed: int, kind: str = "scgi", credentials: CredentialReader | None = None) -> None:
+        super().__init__(reactor, kind, ScgiConnection, post, bounds.connections[kind])
+        self.secure, self.credentials = kind == "scgis", credentials
         self.most_turned_down = bounds.turned_down
         self.turned_down: set[ScgiConnection] = set()
         self._settings, self._held_kb = settings, held_kb
-        self._ids = random.Random(seed)
+        self._ids = random.Random(f"{seed}/{kind}")  # ids of two fronts must differ
 
     def tells_full(self) -> bool:
         """Tell some that there is no room; a flood is only cut off."""
         return len(self.turned_down) < self.most_turned_down
 
-    def take(self, connection: ConnectionId, request: scgi.ScgiRequest) -> None:
-        """Hand a request to the core."""
+    def take(self, connection: ScgiConnection, request: scgi.ScgiRequest) -> None:
+        """Hand a request to the core, with what it brings to prove who sent it where that is asked."""
         call = read_call(request, self._settings)
+        shown = self._presented(connection, request) if self.credentials is not None else None
         self.post(RequestRead(Request(
-            Ticket(connection, 1), f"{self._ids.getrandbits(64):016x}", call.cls, 0, call.caller,
-            request.body, self._held_kb, call.hint_us, DEFAULT_RANK, call.retry, call.key,
+            Ticket(connection.name, 1), f"{self._ids.getrandbits(64):016x}", call.cls, 0, call.caller,
+            request.body, self._held_kb, call.hint_us, DEFAULT_RANK, call.retry, call.key, presented=shown,
         )))
 
+    def _presented(self, connection: ScgiConnection, request: scgi.ScgiRequest) -> Presented:
+        peer = getattr(connection.transport.getPeer(), "host", "")
+        certificate = connection.transport.getPeerCertificate() if self.secure else None
+        return self.credentials.read(request.headers, peer, certificate)
+
     def send(self, ticket: Ticket, answer: Answer, value: float | None) -> None:
         """Write a final answer."""
         connection = self.connections.get(ticket.connection)
--- a/sagetrestle/net/transport/scgi_mapping.py
+++ b/sagetrestle/net/transport/scgi_mapping.py
@@ -13,7 +13,8 @@
 from sagetrestle.interface import Effect, Settings
 from sagetrestle.net.protocol.errors import Fault, ProtocolError
 from sagetrestle.net.protocol.scgi import ScgiRequest
-from sagetrestle.net.routing.values import Answer, FailCause, Refused, Served
+from sagetrestle.net.routing.values import Answer, Denied, FailCause, Refused, Served
+from sagetrestle.net.transport.denials import scgi_words
 
 DEFAULT_CALLER = "anonymous"
 DEFAULT_RANK = 0.5
@@ -98,6 +99,9 @@
         if answer.last:
             headers["X-Retry-Elsewhere"] = "no"
         return text_response("503 Service Unavailable", "turned away; this try never ran", headers)
+    if isinstance(answer, Denied):
+        status, words = scgi_words(answer)
+        return text_response(status, f"{answer.cause.value}; this try never ran", headers | words)
     return text_response(*FAILURES[answer.cause], headers)
 
 
--- a/sagetrestle/net/transport/thrift_front.py
+++ b/sagetrestle/net/transport/thrift_front.py
@@ -5,12 +5,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from sagetrestle.identity.values import Presented
 from sagetrestle.interface import Settings
 from sagetrestle.net.protocol import thrift
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.routing.inputs import HealthAsked, RequestRead, RequestRejected, Withdrawn
-from sagetrestle.net.routing.values import Answer, Refused, Request, Served, Ticket
+from sagetrestle.net.routing.values import Answer, Denied, Refused, Request, Served, Ticket
 from sagetrestle.net.transport.connection import Front, FrontConnection
+from sagetrestle.net.transport.denials import thrift_words
 from sagetrestle.net.transport.ends import Post
 
 # Messages looked at before a pause, and the pause in seconds: for those that were served before, for those
@@ -67,9 +69,10 @@
             self._reject("handle", call.seqid, thrift.PROTOCOL_ERROR, "field 'c' names no class")
             return
         arrived = self.factory.from_unix_ms(call.stamp_ms)
+        shown = Presented(f"front end {call.caller}", front_end=call.caller) if self.factory.maps else None
         self.factory.post(RequestRead(Request(
             Ticket(self.name, call.seqid), call.id, cls, arrived, call.caller, call.body,
-            call.held_kb, int(call.hint_ms * 1000), call.rank, call.retry, call.key, call.subject,
+            call.held_kb, int(call.hint_ms * 1000), call.rank, call.retry, call.key, call.subject, shown,
         )))
 
     def _reject(self, name: str, seqid: int, code: int, why: str, oneway: bool = False) -> None:
@@ -88,6 +91,7 @@
         super().__init__(reactor, "thrift", ThriftConnection, post, most)
         self.classes = {cls.name: at for at, cls in enumerate(settings.classes)}
         self.from_unix_ms = from_unix_ms
+        self.maps = False  # front ends to tenants: set where identity is on
 
     def send(self, ticket: Ticket, answer: Answer, value: float | None) -> None:
         """Write a final answer."""
@@ -121,6 +125,8 @@
 def _encode(seqid: int, answer: Answer, pairs: dict[str, str]) -> bytes:
     if isinstance(answer, Served):
         return thrift.encode_answer("handle", seqid, answer.result, pairs, good=True)
+    if isinstance(answer, Denied):
+        answer = thrift_words(answer)
     if isinstance(answer, Refused):
         if answer.retry_after_us > 0:
             pairs["w"] = str(-(-answer.retry_after_us // 1000))
--- /dev/null
+++ b/sagetrestle/net/transport/tls.py
@@ -0,0 +1,96 @@
+"""TLS for fronts of the program's own: 1.3 only, a client certificate asked for, files read as they change.
+
+Loaded only where identity is on. A connection keeps the context that it began with; a new one gets the
+newest.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from OpenSSL import SSL, crypto
+from twisted.internet.interfaces import IOpenSSLContextFactory
+from twisted.internet.ssl import Certificate, CertificateOptions, KeyPair, TLSVersion
+from zope.interface import implementer
+
+PEM_END = b"-----END CERTIFICATE-----"
+
+
+class TlsError(ValueError):
+    """Files that make no context; the text names the file."""
+
+
+@implementer(IOpenSSLContextFactory)
+class TlsContext:
+    """The context for new connections; ``take`` puts another one in its place."""
+
+    def __init__(self, context: SSL.Context) -> None:
+        self._context = context
+
+    def getContext(self) -> SSL.Context:  # noqa: N802
+        """Return the context for one more connection."""
+        return self._context
+
+    def take(self, context: SSL.Context) -> None:
+        """Use another context from now on."""
+        self._context = context
+
+
+def read_context(certificate: bytes, key: bytes, trust: bytes) -> SSL.Context:
+    """Return a context from PEM files: a chain, its key, and the roots that clients' chains must end in.
+
+    A client without a certificate is taken: its request may bring a token. One whose certificate does not
+    hold is not. Raises TlsError.
+    """
+    chain = _certificates("certificate", certificate)
+    roots = _certificates("trust", trust)
+    try:
+        private = KeyPair.load(key, crypto.FILETYPE_PEM).original
+    except (crypto.Error, ValueError, TypeError) as error:
+        raise TlsError(f"tls.key: can not be read: {type(error).__name__}") from None
+    options = CertificateOptions(
+        privateKey=private, certificate=chain[0].original,
+        extraCertChain=[one.original for one in chain[1:]], raiseMinimumTo=TLSVersion.TLSv1_3,
+        enableSessions=False)
+    context = options.getContext()
+    for root in roots:
+        context.get_cert_store().add_cert(root.original)
+    context.set_client_ca_list([root.original.get_subject() for root in roots])
+    context.set_verify(SSL.VERIFY_PEER | SSL.VERIFY_CLIENT_ONCE)  # none is allowed, a bad one is not
+    try:
+        context.check_privatekey()
+    except SSL.Error:
+        raise TlsError("tls.key: is not the certificate's") from None
+    return context
+
+
+def _certificates(name: str, data: bytes) -> list[Any]:
+    """Read all certificates of a PEM file."""
+    parts = [part + PEM_END for part in data.split(PEM_END)[:-1]]
+    try:
+        found = [Certificate.loadPEM(part.strip() + b"\n") for part in parts]
+    except (crypto.Error, ValueError) as error:
+        raise TlsError(f"tls.{name}: can not be read: {type(error).__name__}") from None
+    if not found:
+        raise TlsError(f"tls.{name}: holds no PEM certificate")
+    return found
+
+
+class TlsFront:
+    """The files of one front's TLS, and the context that its new connections get."""
+
+    def __init__(self, paths: Mapping[str, Path]) -> None:
+        self.context = TlsContext(self.read(paths))
+
+    @staticmethod
+    def read(paths: Mapping[str, Path]) -> SSL.Context:
+        """Return a context from the files as they are now. Raises TlsError, which names the field."""
+        found = []
+        for name in ("certificate", "key", "trust"):
+            try:
+                found.append(paths[f"tls.{name}"].read_bytes())
+            except OSError as error:
+                raise TlsError(f"tls.{name}: {error.strerror}") from None
+        return read_context(*found)
--- /dev/null
+++ b/tests/models/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of models that Hypothesis drives."""
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -26,7 +26,7 @@
 from sagetrestle.net.program.limits import Limits, derive
 from sagetrestle.net.protocol import scgi, thrift
 from sagetrestle.net.protocol.thrift import Kind, Type
-from sagetrestle.net.routing.inputs import Started, StopAsked
+from sagetrestle.net.routing.inputs import IdentityFailed, IdentityRead, Started, StopAsked
 from sagetrestle.net.routing.values import Peers, Plan, Ticket
 from sagetrestle.wirehost import read_settings
 
@@ -187,6 +187,14 @@
         self.wire.end()
 
 
+SCGI_WORDS = (
+    ("auth", "HTTP_AUTHORIZATION"), ("verify", "SSL_CLIENT_VERIFY"), ("dn", "SSL_CLIENT_S_DN"),
+    ("serial", "SSL_CLIENT_M_SERIAL"), ("from", "SSL_CLIENT_V_START"), ("until", "SSL_CLIENT_V_END"),
+    ("key", "HTTP_IDEMPOTENCY_KEY"), ("retry", "HTTP_X_RETRY"), ("hint", "HTTP_X_WORK_HINT_MS"),
+    ("caller", "HTTP_X_CALLER"), ("source", "REMOTE_ADDR"),
+)
+
+
 class ScgiPeer:
     """Old clients, with a connection for each request."""
 
@@ -198,15 +206,19 @@
         given = options(list(words))
         headers = {"REQUEST_METHOD": given.get("method", "POST"), "PATH_INFO": f"/{cls}",
                    "REMOTE_ADDR": "127.0.0.9"}
-        headers |= {long: given[short] for short, long in (
-            ("key", "HTTP_IDEMPOTENCY_KEY"), ("retry", "HTTP_X_RETRY"), ("hint", "HTTP_X_WORK_HINT_MS"),
-            ("caller", "HTTP_X_CALLER")) if short in given}
+        if "token" in given:
+            headers["HTTP_AUTHORIZATION"] = f"Bearer {self.world.tokens[given['token']]}"
+        headers |= {long: given[short].replace("_", " ") for short, long in SCGI_WORDS if short in given}
         wire = self.wires.setdefault(name, self.world.connect("scgi"))
         data = scgi.encode_request(headers, given.get("body", name).encode())
         wire.protocol.dataReceived(given["raw"].encode() if "raw" in given else data)
         self.world.settle()
-        id = self.world.scorer.loop.state.tickets.get(Ticket(getattr(wire.protocol, "name", None), 1))
-        self.world.names[id] = name
+        self.learn(name)
+
+    def learn(self, name: str) -> None:
+        """Note the id that the scorer gave a request."""
+        number = getattr(self.wires[name].protocol, "name", None)
+        self.world.names[self.world.scorer.loop.state.tickets.get(Ticket(number, 1))] = name
 
     def expect(self, name: str, status: str, *words: str) -> None:
         """Expect a status and words that stand in the response, or ``nothing``."""
@@ -252,7 +264,7 @@
 
     def send(self, what: str, name: str = "", text: str = "") -> None:
         """Send an end of a run, ``IOREQ`` or ``EINVAL``; the text ``again`` repeats a number."""
-        call = {value: key for key, value in self.world.names.items()}.get(name, call_id(name))
+        call = self.world.id_of(name)
         if what == "EINVAL":
             self.tell(msg="EINVAL", how=text, call=call)
             return
@@ -311,7 +323,8 @@
         if what == "post":
             self.wire = self.world.accept()
         got = self.wire.take().decode()
-        line = f"post {call_id(name)} " if what == "post" else f"abandon {call_id(name)}\r\n"
+        id = self.world.id_of(name)
+        line = f"post {id} " if what == "post" else f"abandon {id}\r\n"
         self.world.test.assertTrue(got.startswith(line), got)
         self.world.test.assertTrue(what != "post" or got.endswith(f" {len(text)}\r\n{text}\r\n"), got)
 
@@ -321,7 +334,7 @@
             self.wire.protocol.dataReceived(name.replace("\\r\\n", "\r\n").encode())
             return
         rest = f" {len(text)}\r\n{text}\r\n" if verdict == "posted" else "\r\n"
-        self.wire.protocol.dataReceived(f"{call_id(name)} {verdict}{rest}".encode())
+        self.wire.protocol.dataReceived(f"{self.world.id_of(name)} {verdict}{rest}".encode())
 
     def close(self, how: str = "") -> None:
         """Break the connection, or refuse the one that is being tried."""
@@ -358,18 +371,34 @@
             test.assertEqual(what == "exit", world.scorer.loop.state.exited)
 
 
+class Operators:
+    """Those who keep the files of identity; a test names snapshots in ``world.snapshots``."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
+    def send(self, name: str, *_: str) -> None:
+        """Put a snapshot's files in place, or ones that can not be read (``broken``)."""
+        if name == "broken":
+            self.world.scorer.loop.post(IdentityFailed("ring.json: keys: none of them is active"))
+        else:
+            self.world.scorer.loop.post(IdentityRead(self.world.snapshots[name], "ring"))
+
+
 class World:
     """One scorer in memory, and its peers."""
 
-    def __init__(self, test: unittest.TestCase, stop_ms: int = 3_200) -> None:
+    def __init__(self, test: unittest.TestCase, stop_ms: int = 3_200, identity: Any = None) -> None:
         self.test, self.reactor = test, MemoryReactorClock()
+        self.tokens: dict[str, str] = {}
+        self.snapshots: dict[str, Any] = {}
         self.lines: list[str] = []
         self.reports: list[bool] = []
         self.announced: list[bool] = []
         self.names: dict[str | None, str] = {}
         read = lambda: int(self.reactor.seconds() * 1e9)  # noqa: E731
         clock = Clock(lambda: read() + 1_000_000_000, lambda: read() + UNIX_MS * 1_000_000)
-        given = config(ScgiConfig(("127.0.0.1", 0)), plan=plan(stop_ms))
+        given = config(ScgiConfig(("127.0.0.1", 0)), plan=plan(stop_ms), identity=identity)
         logger = SimpleNamespace(info=self.lines.append)
         self.moved: Config | None = None
         self.scorer = program.Scorer(self.reactor, given, logger, clock, self._reread)
@@ -383,6 +412,7 @@
         for front in self.scorer.fronts.values():
             front.port = None  # the reactor's stand-in for a listening socket has nothing to accept
         self.actors: dict[str, Any] = {"platform": Platform(self), "ledger": LedgerPeer(self)}
+        self.actors["operators"] = Operators(self)
         self.actors["kernel"] = self.kernel = KernelPeer(self)
         self.actors |= {"thrift": ThriftPeer(self), "thrift2": ThriftPeer(self), "scgi": ScgiPeer(self)}
         self.settle()
@@ -392,6 +422,10 @@
             raise ConfigError("kernel: missing or not ADDRESS:PORT")
         return self.moved
 
+    def id_of(self, name: str) -> str:
+        """Return a request's id: the scorer's own for SCGI, else the one that its name stands for."""
+        return {value: key for key, value in self.names.items() if key}.get(name, call_id(name))
+
     def connect(self, front: str) -> Wire:
         """Connect to a front; one that does not take the connection closes it."""
         protocol = self.scorer.fronts[front].buildProtocol(None)
@@ -435,8 +469,9 @@
     """A test whose scenarios are played on a scorer of its own."""
 
     stop_ms = 3_200
+    identity: Any = None
 
     def setUp(self) -> None:
         """Start the scorer."""
-        self.world = World(self, self.stop_ms)
+        self.world = World(self, self.stop_ms, self.identity)
         self.play = self.world.play
--- a/tests/net/test_loopback.py
+++ b/tests/net/test_loopback.py
@@ -10,7 +10,8 @@
 from twisted.names import dns
 
 from tests.net.scenario import call_id
-from tests.net.standins import PATIENCE_S, Datagrams, FrontEnd, LoopbackCase, ask_scgi
+from sagetrestle.lab.ledger import Datagrams
+from tests.net.standins import PATIENCE_S, FrontEnd, LoopbackCase, ask_scgi
 
 CORES, WORK_S, OVERLOAD, COUNT = 2, 0.03, 1.3, 260
 
@@ -36,8 +37,8 @@
         self.assertTrue(all(data.count(b"Status: ") == 1 for data in self.scgi_answers))
         served = sum(data.startswith(b"Status: 200 ") for data in self.scgi_answers)
         self.assertGreater(served, 0)
-        ids = Counter(call for call, _ in self.kernel.starts)
-        charges = Counter(body for _, body in self.kernel.starts if body.startswith(b"charge"))
+        ids = Counter(one.call for one in self.kernel.starts)
+        charges = Counter(one.body for one in self.kernel.starts if one.body.startswith(b"charge"))
         self.assertEqual({1}, set(ids.values()))
         self.assertEqual({1}, set(charges.values()))
         self.assertEqual(0, await self.stop())
@@ -59,6 +60,8 @@
 class ReloadTest(LoopbackCase):
     """SIGHUP on a real process."""
 
+    end = signal.SIGKILL
+
     async def test_it_moves_to_a_new_kernel_address_and_serves_on(self):
         """By default SIGHUP ends a process; good or bad, a reload must not."""
         second = await asyncio.start_server(self.kernel.serve, "127.0.0.1", 0)
@@ -80,6 +83,7 @@
     """What only real sockets show of SCGI."""
 
     work_s = 0.4
+    end = signal.SIGKILL
 
     async def test_a_half_close_after_the_request_still_gets_the_answer(self):
         data = await ask_scgi(self.ports["scgi"], "report-view", b"x", half_close=True)
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -33,17 +33,21 @@
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 NET = ROOT / "sagetrestle" / "net"
-FORBIDDEN = {"routing": ("twisted", "net.protocol", "net.transport", "net.program", "time", "socket"),
-             "protocol": ("twisted", "net.routing", "net.transport", "net.program", "time", "datetime"),
-             "transport": ("net.program", "logic")}
+TOOLS = ("cli", "lab")
+IO = ("twisted", "time", "datetime", "socket", "os", "pathlib", "random", "asyncio", "threading", "net", "store")
+FORBIDDEN = {"net/routing": ("twisted", "net.protocol", "net.transport", "net.program", "time", "socket", *TOOLS),
+             "net/protocol": ("twisted", "net.routing", "net.transport", "net.program", "time", "datetime", *TOOLS),
+             "net/transport": ("net.program", "logic", *TOOLS), "net/program": TOOLS,
+             "identity": (*IO, *TOOLS), "limits": (*IO, *TOOLS, "identity"), "store": ("twisted", "net", *TOOLS)}
 
 
 class LayersTest(unittest.TestCase):
     """Who may import whom."""
 
     def test_no_layer_reaches_up(self):
+        """Packages of decisions reach for no clock, socket, disk or chance; tools are reached by nothing."""
         for layer, forbidden in FORBIDDEN.items():
-            for path in (NET / layer).glob("*.py"):
+            for path in (ROOT / "sagetrestle" / layer).glob("*.py"):
                 for node in ast.walk(ast.parse(path.read_text())):
                     names = [node.module or ""] if isinstance(node, ast.ImportFrom) else [
                         one.name for one in node.names] if isinstance(node, ast.Import) else []
