Find scorers through DNS-SD records: registration, a view of members, and a router on it

When the scorer list is out of reach, front ends go by a stale one for up to 24 s, and nothing read the records that were there.

New: sagetrestle/membership (lives, persistent views with cheap differences, phi accrual, merged sources, damping, publisher and browser as state machines) and router (least loaded of two, weighted rendezvous for charges, a key bound to the member that may have run it). Scorers register by signed DNS Update under a lease and withdraw first thing on the way out; browsing goes by push or by polls within the bound. The laboratory has a stand-in DNS server with faults and a fleet of real scorers. `sagetrestle discover`. Off unless deploy/discovery.toml is there.

--- a/sagetrestle/lab/clients.py
+++ b/sagetrestle/lab/clients.py
@@ -18,6 +18,8 @@
 
     def __init__(self, port: int, number: int = 1) -> None:
         self.port, self.number, self.count = port, number, 0
+        self.closed = False
+        self.leaving = False
         self.answers: dict[int, list[thrift.Message]] = {}
         self.waiting: dict[int, asyncio.Future[thrift.Message]] = {}
 
@@ -29,23 +31,37 @@
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
         frames = thrift.FrameDecoder(1 << 20)
-        while data := await reader.read(65536):
-            for message in map(thrift.decode_message, frames.feed(data)):
-                self.answers.setdefault(message.seqid, []).append(message)
-                if message.seqid in self.waiting and not self.waiting[message.seqid].done():
-                    self.waiting[message.seqid].set_result(message)
+        try:
+            while data := await reader.read(65536):
+                for message in map(thrift.decode_message, frames.feed(data)):
+                    self._take(message)
+        except ConnectionError:
+            pass
+        self.closed = True
+        for one in self.waiting.values():
+            if not one.done():
+                one.set_exception(ConnectionResetError("the connection ended"))
 
-    async def ask(self, id: str, cls: str, body: bytes, key: str | None = None, hint_ms: float = 30) -> int:
+    def _take(self, message: thrift.Message) -> None:
+        if message.kind == Kind.ONEWAY:
+            self.leaving = self.leaving or message.name == "leaving"
+            return
+        self.answers.setdefault(message.seqid, []).append(message)
+        if message.seqid in self.waiting and not self.waiting[message.seqid].done():
+            self.waiting[message.seqid].set_result(message)
+
+    async def ask(self, id: str, cls: str, body: bytes, key: str | None = None, hint_ms: float = 30,
+                  patience_s: float = PATIENCE_S, retry: bool = False) -> int:
         """Send a request and wait for its answer; return its number."""
         self.count += 1
         number, self.waiting[self.count] = self.count, asyncio.get_running_loop().create_future()
         pairs = {"c": cls, "i": id, "s": str(time.time_ns() // 1_000_000), "f": str(self.number), "m": "24.5",
                  "h": f"{hint_ms:g}", "p": "0.5"}
-        pairs |= {"k": key} if key else {}
+        pairs |= ({"k": key} if key else {}) | ({"r": "1"} if retry else {})
         fields = thrift.field(Type.MAP, 1, thrift.text_map(pairs))
         fields += thrift.field(Type.STRING, 2, thrift.string(body))
         self.writer.write(thrift.encode_message("handle", Kind.CALL, number, fields))
-        await asyncio.wait_for(self.waiting[number], PATIENCE_S)
+        await asyncio.wait_for(self.waiting[number], patience_s)
         return number
 
     def outcome(self, number: int) -> str:
--- a/sagetrestle/lab/kernel.py
+++ b/sagetrestle/lab/kernel.py
@@ -61,8 +61,11 @@
         """Serve one link; a newer one takes its place."""
         self._writer = writer
         work = asyncio.create_task(self._work())
-        while line := await reader.readline():
-            self._take(json.loads(line))
+        try:
+            while line := await reader.readline():
+                self._take(json.loads(line))
+        except ConnectionError:
+            pass  # a scorer that was killed
         work.cancel()
         writer.close()
 
--- /dev/null
+++ b/sagetrestle/membership/sources.py
@@ -0,0 +1,126 @@
+"""How sources are merged into one listing.
+
+The rules, in order:
+
+1. The highest source that was ever read decides who is there: records before the static file before the view
+   saved last. A source that can not be asked now goes on counting as it was read last.
+2. Names that the static file pins are there whatever the records say, but for one that the records say drains.
+3. Of one name in two sources the higher source's data count; of two boots in one reading the later, of two in
+   changes the one said last: whether an earlier boot is believed is for the member's own life.
+4. A reading with an older zone serial than the last (RFC 1982) is of an old zone and is not taken, until it has
+   come so often that the zone must have been set up anew.
+5. A reading in which more than a share of those that were there are missing is held, and taken only when as
+   many readings in turn have said so, or the missing are silent themselves.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from sagetrestle.membership.values import Instance, Source
+
+SERIAL_HALF = 1 << 31
+OLD_SERIALS_TAKEN = 20  # readings in turn after which an older serial is a new zone
+VANISH_SHARE, VANISH_LEAST = 0.25, 2  # of those listed, gone at once; fewer than so many are never held
+VANISH_READINGS = 5  # in turn that must say the same
+
+
+def serial_older(new: int, old: int) -> bool:
+    """Tell whether a serial is older than another (RFC 1982, 3.2)."""
+    return new != old and ((old - new) % (1 << 32)) < SERIAL_HALF
+
+
+@dataclass(slots=True)
+class Listing:
+    """What one source said last."""
+
+    instances: dict[str, Instance] = field(default_factory=dict)
+    read: bool = False
+    serial: int | None = None
+    old_serials: int = 0
+    doubtful: int = 0
+
+
+class Sources:
+    """All sources, merged."""
+
+    def __init__(self) -> None:
+        self._listings = {source: Listing() for source in Source}
+        self._pinned: frozenset[str] = frozenset()
+
+    def read(self, source: Source, instances: Iterable[Instance], serial: int | None = None,
+             alive: Callable[[str], bool] | None = None, pinned: Iterable[str] = ()) -> bool:
+        """Take a whole reading of a source; returns whether it was taken.
+
+        ``alive`` tells of a name whether it was heard of lately by other means.
+        """
+        listing, found = self._listings[source], _by_name(instances)
+        if self._is_old(listing, serial) or self._is_doubtful(listing, found, alive):
+            return False
+        listing.instances, listing.read, listing.serial = found, True, serial
+        listing.old_serials = listing.doubtful = 0
+        if source is Source.STATIC:
+            self._pinned = frozenset(pinned)
+        return True
+
+    def change(self, source: Source, name: str, instance: Instance | None) -> None:
+        """Take one change of a source that was read whole before."""
+        listing = self._listings[source]
+        if instance is None:
+            listing.instances.pop(name, None)
+            return
+        listing.instances[name] = instance
+
+    def merged(self) -> dict[str, Instance]:
+        """Return the listing that counts."""
+        decides = self.deciding()
+        found = dict(self._listings[decides].instances) if decides is not None else {}
+        for name in self._pinned:
+            instance = self._listings[Source.STATIC].instances.get(name)
+            if instance is not None:
+                found.setdefault(name, instance)
+        return found
+
+    def merged_one(self, name: str) -> Instance | None:
+        """Return one name of the listing that counts."""
+        decides = self.deciding()
+        found = self._listings[decides].instances.get(name) if decides is not None else None
+        if found is None and name in self._pinned:
+            return self._listings[Source.STATIC].instances.get(name)
+        return found
+
+    def deciding(self) -> Source | None:
+        """Return the source that decides who is there."""
+        return next((source for source in Source if self._listings[source].read), None)
+
+    @staticmethod
+    def _is_old(listing: Listing, serial: int | None) -> bool:
+        if serial is None or listing.serial is None or not serial_older(serial, listing.serial):
+            listing.old_serials = 0
+            return False
+        listing.old_serials += 1
+        return listing.old_serials < OLD_SERIALS_TAKEN
+
+    @staticmethod
+    def _is_doubtful(listing: Listing, found: dict[str, Instance],
+                     alive: Callable[[str], bool] | None) -> bool:
+        """Tell whether too many are missing at once that are heard of otherwise."""
+        missing = [name for name in listing.instances if name not in found]
+        if alive is None or len(missing) <= max(VANISH_LEAST, VANISH_SHARE * len(listing.instances)):
+            listing.doubtful = 0
+            return False
+        heard = sum(alive(name) for name in missing)
+        if heard <= max(VANISH_LEAST, VANISH_SHARE * len(listing.instances)):
+            listing.doubtful = 0
+            return False
+        listing.doubtful += 1
+        return listing.doubtful < VANISH_READINGS
+
+
+def _by_name(instances: Iterable[Instance]) -> dict[str, Instance]:
+    found: dict[str, Instance] = {}
+    for one in instances:
+        if one.name not in found or one.boot > found[one.name].boot:
+            found[one.name] = one
+    return found
--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -16,6 +16,7 @@
 from sagetrestle.wirehost import read_settings
 
 if TYPE_CHECKING:
+    from sagetrestle.net.program.discovery import DiscoveryConfig
     from sagetrestle.net.program.identity import IdentityConfig
 
 SCGI_KEYS = {"listen", "dns_listen", "domain", "instance", "held_kb"}
@@ -48,6 +49,7 @@
     identity: IdentityConfig | None = None
     scgis: Address | None = None  # the SCGI front with TLS, which identity.toml sets
     limits: Limits = LEAST
+    discovery: DiscoveryConfig | None = None
 
 
 # What a reload leaves as it is, by the names that the files have for it.
@@ -55,6 +57,7 @@
     "name": lambda one: one.name, "listen": lambda one: one.listen, "seed": lambda one: one.plan.seed,
     "stop_ms": lambda one: one.plan.stop_us, "limits": lambda one: one.plan.bounds,
     "settings": lambda one: (one.plan.settings, one.plan.gauges), "scgi.toml": lambda one: one.scgi,
+    "discovery.toml": lambda one: one.discovery,
     "identity.toml": lambda one: (one.identity and one.identity.file, one.scgis),
 }
 
@@ -64,10 +67,27 @@
     return tuple(name for name, read in FIXED.items() if read(old) != read(new))
 
 
-def read_config(env: Mapping[str, str], scgi_file: Path, identity_file: Path | None = None) -> Config:
+def read_config(env: Mapping[str, str], scgi_file: Path, identity_file: Path | None = None,
+                discovery_file: Path | None = None) -> Config:
     """Read the file that the environment names; name and address in the environment go first."""
     config = _read_platform(env, scgi_file)
-    return _with_identity(config, identity_file) if identity_file and identity_file.exists() else config
+    if identity_file is not None and identity_file.exists():
+        config = _with_identity(config, identity_file)
+    if discovery_file is not None and discovery_file.exists():
+        config = _with_discovery(config, discovery_file)
+    return config
+
+
+def _with_discovery(config: Config, path: Path) -> Config:
+    """Add what the operators' file of discovery says; its libraries are loaded only here."""
+    try:
+        from sagetrestle.net.program import discovery
+    except ImportError as error:
+        raise ConfigError(f"{path.name}: needs requirements-full.txt: {error}") from None
+    try:
+        return replace(config, discovery=discovery.load_discovery(path))
+    except discovery.DiscoveryError as error:
+        raise ConfigError(str(error)) from None
 
 
 def _with_identity(config: Config, path: Path) -> Config:
--- /dev/null
+++ b/sagetrestle/net/program/discovery.py
@@ -0,0 +1,268 @@
+"""Discovery wired up: a scorer's own registration, and the view of all members for whoever routes.
+
+Loaded only where ``deploy/discovery.toml`` turns it on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from sagetrestle.membership import browser as browse
+from sagetrestle.membership import core, publisher
+from sagetrestle.membership.files import (
+    DiscoveryFile, FileError, address, read_discovery, read_saved, read_static, write_saved,
+)
+from sagetrestle.membership.values import Source
+from sagetrestle.membership.view import View
+from sagetrestle.net.protocol import dns_push, dns_wire
+from sagetrestle.net.transport.dns_client import DnsClient
+from sagetrestle.net.transport.dns_push_client import PushClient
+from sagetrestle.net.transport.probe import probe
+from sagetrestle.store.files import replace_file
+
+SAVE_EVERY_US = 5_000_000
+TICK_S = 0.05
+KINDS = {kind.value: kind for kind in browse.Kind}
+
+
+class DiscoveryError(ValueError):
+    """Files that can not be used; the text names the file and the field."""
+
+
+@dataclass(frozen=True)
+class DiscoveryConfig:
+    """What the operators' file says, and the folder that its paths count from."""
+
+    file: DiscoveryFile
+    root: Path
+    signer: dns_wire.Signer | None = None
+
+    @property
+    def server(self) -> tuple[str, int]:
+        """Return the DNS server's address."""
+        return address(self.file.server, "server")
+
+
+def load_discovery(path: Path) -> DiscoveryConfig | None:
+    """Read the operators' file and the key that it names; None where it is off. Raises DiscoveryError."""
+    try:
+        file = read_discovery(path.read_bytes())
+        if file is None:
+            return None
+        root = path.parent.parent
+        return DiscoveryConfig(file, root, _signer(file, root))
+    except (FileError, OSError, ValueError) as error:
+        raise DiscoveryError(f"{path.name}: {error}") from None
+
+
+def _signer(file: DiscoveryFile, root: Path) -> dns_wire.Signer | None:
+    if file.publish is None or not file.publish.key_file:
+        return None
+    try:
+        secret = (root / file.publish.key_file).read_text().strip()
+        return dns_wire.Signer(dns_wire.tsig_key(file.publish.key_name, secret, file.publish.key_algorithm))
+    except (OSError, ValueError) as error:
+        raise FileError(f"publish.key_file: {error}") from None
+
+
+def registration(config: DiscoveryConfig, name: str, host: str, port: int,
+                 told: dict[str, object]) -> dns_wire.Registration:
+    """Return what an instance registers; ``told`` is added to the pairs that the file sets."""
+    row = config.file.publish
+    assert row is not None
+    instance = row.instance or name
+    target = row.host or f"{instance.lower().replace(' ', '-')}.{config.file.domain}"
+    pairs = dns_wire.text_pairs({"txtvers": 1, **told, **row.text})
+    return dns_wire.Registration(config.file.domain, config.file.name, instance, target, host, port,
+                                 row.priority, row.weight, pairs)
+
+
+class PublisherHost:
+    """Carries a publisher's decisions out on one DNS server."""
+
+    def __init__(self, reactor: Any, config: DiscoveryConfig, what: dns_wire.Registration,
+                 log: Callable[[str], None], unix_s: Callable[[], float], seed: int) -> None:
+        assert config.file.publish is not None
+        self._reactor, self._what, self._log, self._unix_s = reactor, what, log, unix_s
+        self._client = DnsClient(reactor, config.server)
+        self._signer = config.signer
+        terms = publisher.PublisherTerms(lease_us=config.file.publish.lease_s * 1_000_000)
+        self.machine = publisher.Publisher(terms, seed)
+        self._timer: Any = None
+
+    def want(self, on: bool) -> None:
+        """Have the instance registered, or withdrawn: at once."""
+        self._take(publisher.Want(on))
+
+    def _take(self, event: publisher.PublisherEvent) -> None:
+        for decision in self.machine.step(self._now(), event):
+            if isinstance(decision, publisher.Say):
+                self._log(decision.text)
+            else:
+                self._send(decision)
+        self._arm()
+
+    def _now(self) -> int:
+        return int(self._reactor.seconds() * 1e6)
+
+    def _send(self, send: publisher.Send) -> None:
+        lease = send.lease_us // 1_000_000 if send.register else None
+        terms = self.machine.terms
+        wait = (terms.answer_us if send.register else terms.withdraw_answer_us) / 1e6
+        done = self._client.update(self._what, lease, self._signer, int(self._unix_s()), max(wait, 0.2))
+        done.addCallbacks(lambda answer: self._answered(send.number, answer), lambda _: None)
+
+    def _answered(self, number: int, answer: dns_wire.UpdateAnswer) -> None:
+        if answer.server_s is not None and self._signer is not None:
+            # The two clocks are apart: sign by the server's from now on (RFC 8945, 5.2.3).
+            self._signer = self._signer._replace(ahead_s=answer.server_s - int(self._unix_s()))
+        done = answer.rcode == "NOERROR"
+        self._take(publisher.Answered(number, done, answer.lease_s * 1_000_000, answer.rcode))
+
+    def _arm(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        due = self.machine.due
+        self._timer = None if due is None else self._reactor.callLater(
+            max(0.0, due / 1e6 - self._reactor.seconds()), self._take, publisher.Passed())
+
+    def stop(self) -> None:
+        """Do nothing more."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+
+class MembershipHost:
+    """Keeps a view of all members: browses, probes, and tells who asked of every new view.
+
+    Whoever sends requests tells it what calls brought, by ``evidence``.
+    """
+
+    def __init__(self, reactor: Any, config: DiscoveryConfig, log: Callable[[str], None], seed: int,
+                 on_view: Callable[[View], None]) -> None:
+        row = config.file.browse
+        assert row is not None
+        self._reactor, self._config, self._row, self._log, self._on_view = reactor, config, row, log, on_view
+        self._client = DnsClient(reactor, config.server)
+        self.browser = browse.Browser(config.file.name, browse.BrowserTerms(poll_us=row.poll_ms * 1000), seed)
+        terms = core.Terms(probe_every_us=row.probe_ms * 1000, most_out=row.most_out)
+        self.members = core.Membership(terms, self._now())
+        names = [(config.file.name, "PTR")]
+        self._push = PushClient(reactor, config.server, names, self._push_state, self._pushed) if row.push else None
+        self._subscribed: set[str] = set()
+        self._timer: Any = None
+        self._saved_at, self._unsaved = 0, False
+        self._stopped = False
+
+    def _now(self) -> int:
+        return int(self._reactor.seconds() * 1e6)
+
+    def start(self) -> None:
+        """Begin with what was saved and what is static, and browse."""
+        for source, path, read in ((Source.SAVED, self._row.saved, lambda data: (read_saved(data), ())),
+                                   (Source.STATIC, self._row.static, read_static)):
+            if path:
+                self._read_file(source, self._config.root / path, read)
+        if self._push is not None:
+            self._push.start()
+        self._tick()
+
+    def _read_file(self, source: Source, path: Path, read: Callable[[bytes], Any]) -> None:
+        try:
+            instances, pinned = read(path.read_bytes())
+        except FileNotFoundError:
+            return
+        except (FileError, OSError) as error:
+            self._log(f"the {source.value} is not taken: {path.name}: {error}")
+            return
+        self._members(core.SourceRead(source, instances, pinned=pinned))
+
+    def stop(self) -> None:
+        """End all of it."""
+        self._stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self._push is not None:
+            self._push.stop()
+
+    def evidence(self, event: core.Event) -> None:
+        """Take what a call brought: Heard, Missed, Refused."""
+        self._members(event)
+
+    # Membership
+
+    def _members(self, event: core.Event) -> None:
+        for decision in self.members.step(self._now(), event):
+            match decision:
+                case core.Probe(name, endpoint):
+                    timeout = self.members.terms.probe_timeout_us / 1e6
+                    probe(self._reactor, name, endpoint, timeout).addCallback(self._members)
+                case core.Seen(view):
+                    self._unsaved = True
+                    self._on_view(view)
+                case core.ReadAgain():
+                    self.browser.due = 0
+                case core.Note(text):
+                    self._log(text)
+
+    # Browsing
+
+    def _browser(self, event: browse.BrowserEvent) -> None:
+        for decision in self.browser.step(self._now(), event):
+            match decision:
+                case browse.Ask(number, name, kind, stream):
+                    self._client.ask(name, kind.value, stream).addCallbacks(
+                        self._replied, self._unanswered, callbackArgs=(number,), errbackArgs=(number,))
+                case browse.Found(instances, serial):
+                    self._members(core.SourceRead(Source.RECORDS, instances, serial))
+                case browse.Changed(now, gone):
+                    self._members(core.SourceChanged(Source.RECORDS, now, gone))
+                case browse.Lost():
+                    self._members(core.SourceLost(Source.RECORDS))
+
+    def _replied(self, answer: dns_wire.Answer, number: int) -> None:
+        good = answer.rcode in ("NOERROR", "NXDOMAIN")
+        self._browser(browse.Reply(number, good, _records(answer.records), answer.missing, answer.serial,
+                                   answer.rcode))
+
+    def _unanswered(self, reason: Any, number: int) -> None:
+        self._browser(browse.Reply(number, False, why=reason.getErrorMessage()))
+
+    def _push_state(self, up: bool) -> None:
+        self._log("changes are pushed" if up else "changes are not pushed: polling")
+        self._browser(browse.PushState(up))
+
+    def _pushed(self, changes: dns_push.Changes) -> None:
+        self._browser(browse.Pushed(_records(changes.added), _records(changes.removed)))
+
+    # Time
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        self._browser(browse.Passed())
+        self._members(core.Tick())
+        if self._row.saved and self._unsaved and self._now() - self._saved_at >= SAVE_EVERY_US:
+            self._save()
+        self._timer = self._reactor.callLater(TICK_S, self._tick)
+
+    def _save(self) -> None:
+        """Save the view, unless what was saved before is worth more: one of nobody, or one read from there."""
+        if not self.members.view.eligible() or self.members.sources.deciding() is Source.SAVED:
+            return
+        self._saved_at, self._unsaved = self._now(), False
+        try:
+            replace_file(self._config.root / self._row.saved,
+                         write_saved(self.members.view.members.values()), 0o644)
+        except OSError as error:
+            self._log(f"the view is not saved: {error}")
+
+
+def _records(found: tuple[dns_wire.WireRecord, ...]) -> tuple[browse.Record, ...]:
+    """Return records in the browser's words."""
+    return tuple(browse.Record(one.name, KINDS[one.kind],
+                               tuple(one.data.items()) if isinstance(one.data, dict) else one.data, one.ttl_s)
+                 for one in found)
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -33,6 +33,7 @@
 from sagetrestle.net.transport.thrift_front import ThriftFront
 
 if TYPE_CHECKING:
+    from sagetrestle.net.program.discovery import DiscoveryConfig
     from sagetrestle.net.program.identity import IdentityConfig
     from sagetrestle.net.transport.credentials import CredentialReader
 
@@ -40,7 +41,7 @@
 COLLECT = (5_000, 10, 10)  # almost nothing here is part of a cycle: looking for them seldom is enough
 EXIT_AFTER_S = 0.03  # for the last answers to leave their sockets
 SCGI_FILE, IDENTITY_FILE = Path("deploy/scgi.toml"), Path("deploy/identity.toml")
-LOG_FILE = Path("deploy/log.toml")
+LOG_FILE, DISCOVERY_FILE = Path("deploy/log.toml"), Path("deploy/discovery.toml")
 
 
 class Scorer:
@@ -64,6 +65,7 @@
         self.exit_code = 0
         self._tls: Any = None
         self._watch: Any = None
+        self._publisher: Any = None
         credentials = None
         if config.identity:
             credentials = self._add_identity(config.identity, post)
@@ -168,13 +170,15 @@
         host, port = self.config.listen
         try:
             self.roster.listen(self.reactor, host)
-            self._open(self.thrift, host, port)
+            thrift_port = self._open(self.thrift, host, port)
             if self.config.scgi:
                 self._listen_scgi(self.config.scgi)
             if self.config.scgis:
                 self._open(self.fronts["scgis"], *self.config.scgis)
             if self._watch:
                 self._watch.start()
+            if self.config.discovery and self.config.discovery.file.publish:
+                self._publish(self.config.discovery, host, thrift_port)
         except CannotListenError as error:
             self._log.line(f"can not listen: {error}")
             self.exit_code = 1
@@ -204,7 +208,21 @@
     def _listens(self, kind: str, host: str, port: int) -> None:
         self._log.line(f"{kind} front listens on {host}:{port}")
 
+    def _publish(self, discovery: DiscoveryConfig, host: str, port: int) -> None:
+        """Register this scorer in DNS whenever it takes work; its libraries are loaded only here."""
+        from sagetrestle.net.program.discovery import PublisherHost, registration
+        told = {"boot": int(time.time() * 1000), "classes": ",".join(
+            cls.name for cls in self.config.plan.settings.classes)}
+        if "scgi" in self.fronts and self.fronts["scgi"].port is not None:
+            told["scgi"] = self.fronts["scgi"].port.getHost().port
+        what = registration(discovery, self.config.name, host, port, told)
+        self._publisher = PublisherHost(
+            self.reactor, discovery, what, self._log.line, time.time, self.config.plan.seed)
+        self._publisher.want(self.loop.state.healthy and self.loop.state.policy is not None)
+
     def _announce(self, on: bool) -> None:
+        if self._publisher:
+            self._publisher.want(on)
         if self.dns:
             self.dns.authority.publish(on)
 
@@ -224,7 +242,7 @@
 def main() -> int:
     """Run one scorer until it is told to leave."""
     signals.ignore_reload()
-    reread = partial(read_config, os.environ, SCGI_FILE, IDENTITY_FILE)
+    reread = partial(read_config, os.environ, SCGI_FILE, IDENTITY_FILE, DISCOVERY_FILE)
     try:
         logger = log.set_up(log.read_form(LOG_FILE))
         config = reread()
--- /dev/null
+++ b/sagetrestle/net/protocol/dns_push.py
@@ -0,0 +1,181 @@
+"""DNS Push Notifications (RFC 8765) over DNS Stateful Operations (RFC 8490): framing and the few messages used.
+
+dnspython has no stateful operations, so the frames are read here; names and record data in them are its.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from typing import NamedTuple, Union
+
+import dns.exception
+import dns.name
+import dns.rdata
+import dns.rdataclass
+import dns.rdatatype
+
+from sagetrestle.net.protocol.dns_wire import KINDS, WireRecord, data_of, text_of
+from sagetrestle.net.protocol.errors import Fault, ProtocolError
+
+OPCODE = 6
+KEEPALIVE, RETRY_DELAY, SUBSCRIBE, PUSH, UNSUBSCRIBE = 0x0001, 0x0002, 0x0040, 0x0041, 0x0042
+REMOVE, REMOVE_ALL = 0xFFFFFFFF, 0xFFFFFFFE  # in place of a TTL: this record, or all of its name and type
+MAX_FRAME = 65_535
+
+
+class Acknowledged(NamedTuple):
+    """The server's answer to the message of this id: the response code."""
+
+    id: int
+    rcode: int
+
+
+class Changes(NamedTuple):
+    """Pushed changes: records that are there, records that are gone, and (name, type) of which all are gone."""
+
+    added: tuple[WireRecord, ...]
+    removed: tuple[WireRecord, ...]
+    emptied: tuple[tuple[str, str], ...]
+
+
+class Subscribe(NamedTuple):
+    """A client asks for the changes of a name's records of one type."""
+
+    id: int
+    name: str
+    kind: str
+
+
+class RetryDelay(NamedTuple):
+    """The server ends the session, and says for how long to stay away, in milliseconds."""
+
+    delay_ms: int
+
+
+class Other(NamedTuple):
+    """A message of a type that is not looked at."""
+
+    type: int
+
+
+Message = Union[Acknowledged, Changes, Subscribe, RetryDelay, Other]
+
+
+class FrameDecoder:
+    """Two octets of length before each message (RFC 1035, 4.2.2), in whatever pieces they come."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Take more bytes, and return the messages that are whole."""
+        self._buffer += data
+        while len(self._buffer) >= 2:
+            size = int.from_bytes(self._buffer[:2], "big")
+            if len(self._buffer) < 2 + size:
+                return
+            message = bytes(self._buffer[2:2 + size])
+            del self._buffer[:2 + size]
+            yield message
+
+
+def frame(message: bytes) -> bytes:
+    """Return a message with its length ahead."""
+    return struct.pack("!H", len(message)) + message
+
+
+def encode_subscribe(id: int, name: str, kind: str) -> bytes:
+    """Write a subscription (RFC 8765, 6.2.1)."""
+    asked = dns.name.from_text(name).to_wire() + struct.pack("!HH", dns.rdatatype.from_text(kind), dns.rdataclass.IN)
+    return _message(id, False, 0, SUBSCRIBE, asked)
+
+
+def encode_keepalive(id: int, inactivity_ms: int, interval_ms: int) -> bytes:
+    """Write a keep-alive (RFC 8490, 7.1)."""
+    return _message(id, False, 0, KEEPALIVE, struct.pack("!II", inactivity_ms, interval_ms))
+
+
+def encode_acknowledged(id: int, rcode: int) -> bytes:
+    """Write a server's answer to a subscription or keep-alive."""
+    return struct.pack("!HHHHHH", id, 0x8000 | OPCODE << 11 | rcode, 0, 0, 0, 0)
+
+
+def encode_changes(added: list[tuple[str, int, dns.rdata.Rdata]], removed: list[tuple[str, dns.rdata.Rdata]]) -> bytes:
+    """Write pushed changes (RFC 8765, 6.3.1): (name, TTL, data) that are there, (name, data) that are gone."""
+    data = b"".join(_record(name, ttl, one) for name, ttl, one in added)
+    data += b"".join(_record(name, REMOVE, one) for name, one in removed)
+    return _message(0, False, 0, PUSH, data)
+
+
+def _record(name: str, ttl: int, one: dns.rdata.Rdata) -> bytes:
+    data = one.to_wire()
+    assert data is not None
+    head = dns.name.from_text(name).to_wire()
+    assert head is not None
+    return head + struct.pack("!HHIH", one.rdtype, dns.rdataclass.IN, ttl, len(data)) + data
+
+
+def _message(id: int, answer: bool, rcode: int, type: int, data: bytes) -> bytes:
+    if len(data) > MAX_FRAME - 16:
+        raise ProtocolError("a message over 64 KiB", Fault.TOO_LARGE)
+    flags = (0x8000 if answer else 0) | OPCODE << 11 | rcode
+    return struct.pack("!HHHHHHHH", id, flags, 0, 0, 0, 0, type, len(data)) + data
+
+
+def decode(data: bytes) -> Message:
+    """Read one message. Raises ProtocolError."""
+    if len(data) < 12:
+        raise ProtocolError("no stateful operation: too short")
+    id, flags, *counts = struct.unpack("!HHHHHH", data[:12])
+    if flags >> 11 & 0xF != OPCODE or any(counts):
+        raise ProtocolError("no stateful operation")
+    if flags & 0x8000:
+        return Acknowledged(id, flags & 0xF)
+    if len(data) < 16:
+        raise ProtocolError("a request without its operation")
+    type, size = struct.unpack("!HH", data[12:16])
+    body = data[16:16 + size]
+    if len(body) != size:
+        raise ProtocolError("an operation that is cut off")
+    try:
+        return _read(id, type, body)
+    except (dns.exception.DNSException, struct.error, ValueError, IndexError) as error:
+        raise ProtocolError(f"an operation that can not be read: {type_name(error)}") from None
+
+
+def type_name(error: Exception) -> str:
+    """Return the name of an error's type."""
+    return error.__class__.__name__
+
+
+def _read(id: int, type: int, body: bytes) -> Message:
+    if type == PUSH:
+        return _changes(body)
+    if type == SUBSCRIBE:
+        name, used = dns.name.from_wire(body, 0)
+        kind, _ = struct.unpack("!HH", body[used:used + 4])
+        return Subscribe(id, text_of(name), dns.rdatatype.to_text(kind))
+    if type == RETRY_DELAY:
+        return RetryDelay(struct.unpack("!I", body[:4])[0])
+    return Other(type)
+
+
+def _changes(body: bytes) -> Changes:
+    added, removed, emptied, at = [], [], [], 0
+    while at < len(body):
+        name, used = dns.name.from_wire(body, at)
+        at += used
+        kind, rdclass, ttl, size = struct.unpack("!HHIH", body[at:at + 10])
+        at += 10
+        if at + size > len(body):
+            raise ValueError("a record that is cut off")
+        word = dns.rdatatype.to_text(kind)
+        if ttl == REMOVE_ALL:
+            emptied.append((text_of(name), word))
+        elif word in KINDS:
+            one = dns.rdata.from_wire(rdclass, kind, body, at, size)
+            record = WireRecord(text_of(name), word, data_of(word, one), 0 if ttl == REMOVE else ttl)
+            (removed if ttl == REMOVE else added).append(record)
+        at += size
+    return Changes(tuple(added), tuple(removed), tuple(emptied))
--- /dev/null
+++ b/sagetrestle/net/transport/probe.py
@@ -0,0 +1,75 @@
+"""Health checks of members: ``status`` over Thrift, on a connection of its own each."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from sagetrestle.membership.core import Event, Heard, Missed, Refused, Resting
+from sagetrestle.net.protocol import thrift
+from sagetrestle.net.protocol.errors import ProtocolError
+from sagetrestle.net.routing.values import ConnectionEnd
+from sagetrestle.net.transport.ends import end_of, endpoint_at
+
+ASK = thrift.encode_message("status", thrift.Kind.CALL, 1, thrift.field(thrift.Type.BOOL, 1, b"\0"))
+GOOD = 3  # the field of ``Answer`` that tells
+
+
+class StatusProbe(Protocol):
+    """One check; silence is the caller's to time."""
+
+    def __init__(self, name: str, done: Deferred[Event]) -> None:
+        self._name, self._done = name, done
+        self._frames = thrift.FrameDecoder()
+
+    def connectionMade(self) -> None:  # noqa: D102
+        self.transport.write(ASK)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: D102
+        try:
+            for frame in self._frames.feed(data):
+                self._take(thrift.decode_message(frame))
+        except ProtocolError:
+            self.transport.abortConnection()
+
+    def _take(self, message: thrift.Message) -> None:
+        if message.kind == thrift.Kind.ONEWAY and message.name == "leaving":
+            self._tell(Heard(self._name, leaving=True))
+        elif message.kind == thrift.Kind.REPLY and 0 in message.fields:
+            good = message.fields[0][1][GOOD][1]
+            self._tell(Heard(self._name) if good else Resting(self._name))
+            self.transport.loseConnection()
+
+    def _tell(self, event: Event) -> None:
+        if self._done is not None:
+            done, self._done = self._done, None
+            done.callback(event)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
+        self._tell(Missed(self._name))
+
+
+def probe(reactor: Any, name: str, address: tuple[str, int], timeout_s: float) -> Deferred[Event]:
+    """Check one member; what comes of it is an event of membership, never a failure."""
+    done: Deferred[Event] = Deferred()
+    factory = Factory.forProtocol(lambda: StatusProbe(name, done))  # type: ignore[arg-type]
+    factory.noisy = False
+    open_connection = endpoint_at(reactor, address, timeout_s).connect(factory)
+    standing: list[StatusProbe] = []
+    open_connection.addCallbacks(standing.append, lambda reason: _unreached(name, done, reason))
+
+    def late(_: Any, seconds: float) -> Event:
+        open_connection.cancel()
+        for one in standing:
+            one.transport.abortConnection()
+        return Missed(name)
+    return done.addTimeout(timeout_s, reactor, onTimeoutCancel=late)
+
+
+def _unreached(name: str, done: Deferred[Event], reason: Failure) -> None:
+    if not done.called:
+        refused = end_of(reason) is ConnectionEnd.REFUSED
+        done.callback(Refused(name) if refused else Missed(name))
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -125,7 +125,7 @@
 
     def test_help_lists_every_group_and_an_unknown_one_is_named(self):
         text = self.run_ok("--help")
-        for name in ("keys", "tenants", "lab", "demo"):
+        for name in ("keys", "tenants", "discover", "lab", "demo"):
             self.assertIn(name, text)
             self.run_ok(name, "--help")
         self.fails("No such command 'nothing'", "nothing", code=2)
--- /dev/null
+++ b/tests/membership/helpers.py
@@ -0,0 +1,67 @@
+"""A membership driven by hand in fake time."""
+
+from __future__ import annotations
+
+from sagetrestle.membership.core import (
+    Heard, Membership, Missed, Note, Probe, Seen, SourceChanged, SourceRead, Terms, Tick,
+)
+from sagetrestle.membership.values import Endpoint, Instance, Source
+
+MS, S = 1_000, 1_000_000
+
+
+def instance(number: int | str, boot: int = 1, port: int | None = None, **more: object) -> Instance:
+    """Return an instance by its number."""
+    name = number if isinstance(number, str) else f"n{number}"
+    at = port if port is not None else 10_000 + (number if isinstance(number, int) else 0)
+    return Instance(name, Endpoint("10.0.0.1", at), boot=boot, **more)
+
+
+class World:
+    """Members that answer probes or not, and time that passes in steps of 10 ms."""
+
+    def __init__(self, count: int = 4, **terms: object) -> None:
+        self.terms = Terms(**terms)
+        self.now, self.core = 0, Membership(self.terms)
+        self.silent: set[str] = set()
+        self.notes: list[str] = []
+        self.probes: list[tuple[int, str]] = []
+        self.views = []
+        self.late: list[tuple[int, object]] = []
+        self.read(*(instance(at) for at in range(count)))
+        self.wait(600 * MS)
+
+    def take(self, event) -> None:
+        for one in self.core.step(self.now, event):
+            if isinstance(one, Note):
+                self.notes.append(one.text)
+            elif isinstance(one, Seen):
+                self.views.append(one.view)
+            elif isinstance(one, Probe):
+                self.probes.append((self.now, one.name))
+                if one.name in self.silent:
+                    self.late.append((self.now + self.terms.probe_timeout_us, Missed(one.name)))
+                else:
+                    self.late.append((self.now + 2 * MS, Heard(one.name)))
+
+    def read(self, *instances: Instance, serial: int | None = None, source: Source = Source.RECORDS, **more) -> None:
+        self.take(SourceRead(source, instances, serial, **more))
+
+    def change(self, *now: Instance, gone: tuple[str, ...] = ()) -> None:
+        self.take(SourceChanged(Source.RECORDS, now, gone))
+
+    def wait(self, span: int) -> None:
+        until = self.now + span
+        while self.now < until:
+            self.now += 10 * MS
+            for at, event in [one for one in self.late if one[0] <= self.now]:
+                self.late.remove((at, event))
+                self.take(event)
+            self.take(Tick())
+
+    def life(self, name: str) -> str | None:
+        member = self.core.view.members.get(name)
+        return member and member.life.value
+
+    def eligible(self) -> list[str]:
+        return sorted(one.instance.name for one in self.core.view.eligible())
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -35,10 +35,14 @@
 NET = ROOT / "sagetrestle" / "net"
 TOOLS = ("cli", "lab")
 IO = ("twisted", "time", "datetime", "socket", "os", "pathlib", "random", "asyncio", "threading", "net", "store")
+SEEDED = tuple(name for name in IO if name != "random")  # packages that draw, from a source that they are given
 FORBIDDEN = {"net/routing": ("twisted", "net.protocol", "net.transport", "net.program", "time", "socket", *TOOLS),
              "net/protocol": ("twisted", "net.routing", "net.transport", "net.program", "time", "datetime", *TOOLS),
              "net/transport": ("net.program", "logic", *TOOLS), "net/program": TOOLS,
-             "identity": (*IO, *TOOLS), "limits": (*IO, *TOOLS, "identity"), "store": ("twisted", "net", *TOOLS)}
+             "membership": (*SEEDED, *TOOLS, "identity", "limits"),
+             "router": (*SEEDED, *TOOLS, "identity", "limits"),
+             "identity": (*IO, *TOOLS, "membership"), "limits": (*IO, *TOOLS, "identity"),
+             "store": ("twisted", "net", *TOOLS)}
 
 
 class LayersTest(unittest.TestCase):
