--- /dev/null
+++ b/sagetrestle/attempts/keeper.py
@@ -0,0 +1,258 @@
+"""The machines of all requests, and what they share: router, breaker, budgets, and the pace of the members.
+
+``step`` returns decisions with the member chosen; the owner sends, cancels and asks, and reports how it ended.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+from typing import NamedTuple, Union
+
+from sagetrestle.attempts import request as one_request
+from sagetrestle.attempts.breaker import Breaker, BreakerTerms
+from sagetrestle.attempts.budget import Budgets
+from sagetrestle.attempts.request import Allowance, Request, RequestTerms
+from sagetrestle.attempts.values import FAULTS, PROVES, AttemptEnd, Fate, Job, Result
+from sagetrestle.membership.values import Member
+from sagetrestle.router import Attempt, End, NoRoute, Route, Router, Wanted, Why
+
+COMPARE_EVERY_US = 1_000_000
+NOBODY_US = 1_000_000  # how long to stay away where no member takes work
+
+
+@dataclass(frozen=True)
+class KeeperTerms:
+    """Shares of first tries that retries and second copies may add; ``copy_point`` of a route's times starts one."""
+
+    retry_share: float = 0.08
+    retry_reserve_per_s: float = 1.0
+    copy_share: float = 0.02
+    copy_point: float = 0.95
+    request: RequestTerms = field(default_factory=RequestTerms)
+    breaker: BreakerTerms = field(default_factory=BreakerTerms)
+
+
+class Send(NamedTuple):
+    """Send a job's attempt to a member."""
+
+    job: Job
+    number: int
+    member: Member
+    timeout_us: int
+
+
+class Ask(NamedTuple):
+    """Ask a member what became of a job's key."""
+
+    job: Job
+    number: int
+    member: Member
+    timeout_us: int
+
+
+class Drop(NamedTuple):
+    """Give an attempt up."""
+
+    job: Job
+    number: int
+
+
+class Finished(NamedTuple):
+    """A job is over."""
+
+    job: Job
+    result: Result
+
+
+KeeperDecision = Union[Send, Ask, Drop, Finished]
+
+
+class Pace:
+    """How long answers of a route usually take, as a quantile followed by steps (frugal streaming, Ma 2013)."""
+
+    __slots__ = ("value", "_point", "seen")
+
+    def __init__(self, point: float) -> None:
+        self.value, self._point, self.seen = 0.0, point, 0
+
+    def note(self, took_us: int) -> None:
+        """Move towards the quantile by a part of the present value."""
+        self.seen += 1
+        if self.seen <= 5:
+            self.value = max(self.value, float(took_us))
+            return
+        step = max(500.0, 0.05 * self.value)
+        self.value += step * self._point if took_us > self.value else -step * (1 - self._point)
+
+
+@dataclass(slots=True)
+class _Held:
+    machine: Request
+    attempts: dict[int, tuple[Attempt, int]] = field(default_factory=dict)  # number: the router's, and its start
+    tried: tuple[str, ...] = ()
+    member: Member | None = None  # of the last attempt
+    questions: set[int] = field(default_factory=set)
+
+
+class Keeper:
+    """All requests that are under way."""
+
+    def __init__(self, router: Router, terms: KeeperTerms | None = None, seed: int = 0) -> None:
+        self.router, self.terms = router, terms or KeeperTerms()
+        self.breaker = Breaker(self.terms.breaker)
+        self._rng = random.Random(seed)
+        self._jobs: dict[str, _Held] = {}
+        self._due: list[tuple[int, str]] = []
+        self._routes = Budgets(self.terms.retry_share, self.terms.retry_reserve_per_s)
+        self._tenants = Budgets(self.terms.retry_share, self.terms.retry_reserve_per_s)
+        self._copies = Budgets(self.terms.copy_share, 0.2)
+        self._paces: dict[str, Pace] = {}
+        self._compare_at = 0
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def next_due(self) -> int | None:
+        """Return when ``passed`` is due."""
+        return self._due[0][0] if self._due else None
+
+    def begin(self, now_us: int, job: Job) -> list[KeeperDecision]:
+        """Take a job in. Raises ValueError for one whose id is under way."""
+        if job.id in self._jobs:
+            raise ValueError(f"job {job.id}: is under way")
+        self._jobs[job.id] = _Held(Request(job, self.terms.request, self._rng))
+        if not job.retry:  # a caller's own retries pay for none of ours
+            for budgets, name in ((self._routes, job.route), (self._tenants, job.tenant), (self._copies, job.route)):
+                budgets.of(name).first(now_us)
+        return self._step(now_us, job.id, one_request.Begin())
+
+    def ended(self, now_us: int, id: str, number: int, end: AttemptEnd, answer: object = None,
+              retry_after_us: int = 0) -> list[KeeperDecision]:
+        """Take how an attempt ended."""
+        held = self._jobs.get(id)
+        if held is None or number not in held.attempts:
+            return []
+        self._close(now_us, held, number, end)
+        return self._step(now_us, id, one_request.Ended(number, end, answer, retry_after_us))
+
+    def told(self, now_us: int, id: str, number: int, fate: Fate | None,
+             answer: object = None) -> list[KeeperDecision]:
+        """Take a member's word on a key."""
+        held = self._jobs.get(id)
+        if held is None or number not in held.questions:
+            return []
+        held.questions.discard(number)
+        return self._step(now_us, id, one_request.Told(number, fate, answer))
+
+    def gone(self, now_us: int, id: str) -> list[KeeperDecision]:
+        """Take that nobody waits for a job any more."""
+        return self._step(now_us, id, one_request.CallerGone()) if id in self._jobs else []
+
+    def passed(self, now_us: int) -> list[KeeperDecision]:
+        """Do what is due by time alone."""
+        decided: list[KeeperDecision] = []
+        while self._due and self._due[0][0] <= now_us:
+            _, id = heapq.heappop(self._due)
+            held = self._jobs.get(id)
+            if held is not None and held.machine.due is not None and held.machine.due <= now_us:
+                decided += self._step(now_us, id, one_request.Passed())
+        if now_us >= self._compare_at:
+            self._compare_at = now_us + COMPARE_EVERY_US
+            self.breaker.compare(now_us, len(self.router.view.members))
+        return decided
+
+    # Inside
+
+    def _step(self, now_us: int, id: str, event: one_request.RequestEvent) -> list[KeeperDecision]:
+        held = self._jobs[id]
+        decided: list[KeeperDecision] = []
+        todo = list(held.machine.step(now_us, event, self._allowed(now_us, held)))
+        while todo:
+            decision = todo.pop(0)
+            match decision:
+                case one_request.Try():
+                    todo += self._send(now_us, held, decision, decided)
+                case one_request.AskAfter(number, timeout_us):
+                    todo += self._ask(now_us, held, number, timeout_us, decided)
+                case one_request.Cancel(number):
+                    won = held.machine.state is one_request.State.DONE  # the other copy answered
+                    self._close(now_us, held, number, AttemptEnd.WITHDRAWN if won else AttemptEnd.TIMED_OUT)
+                    decided.append(Drop(held.machine.job, number))
+                case one_request.Answer(result):
+                    decided.append(Finished(held.machine.job, result))
+        if held.machine.state is one_request.State.DONE:
+            for number in list(held.attempts):
+                self._close(now_us, held, number, AttemptEnd.WITHDRAWN)
+            del self._jobs[id]
+        elif held.machine.due is not None:
+            heapq.heappush(self._due, (held.machine.due, id))
+        return decided
+
+    def _allowed(self, now_us: int, held: _Held) -> Allowance:
+        """Return what the budgets allow: retries by route and by tenant, second copies by route."""
+        job = held.machine.job
+        pace = self._paces.get(job.route)
+        copy = int(pace.value) if pace is not None and pace.seen > 20 and job.key is None else 0
+        return Allowance(lambda: self._spend(now_us, job), lambda: self._copies.of(job.route).spend(now_us), copy)
+
+    def _spend(self, now_us: int, job: Job) -> bool:
+        route, tenant = self._routes.of(job.route), self._tenants.of(job.tenant)
+        if tenant.balance(now_us) < 1.0 or not route.spend(now_us):
+            return False
+        return tenant.spend(now_us)
+
+    def _send(self, now_us: int, held: _Held, decision: one_request.Try,
+              decided: list[KeeperDecision]) -> list[one_request.RequestDecision]:
+        """Choose a member; without one the attempt ends at once, proven never to have run."""
+        job = held.machine.job
+        route = self._choose(now_us, job, held.tried)
+        if isinstance(route, NoRoute):
+            bound = route.why is Why.BOUND
+            end = AttemptEnd.RESET if bound else AttemptEnd.NOT_CONNECTED
+            # With nobody there the caller hears so at once: to hold it would only hide that from it.
+            wait, none = route.retry_after_us or NOBODY_US, Allowance(lambda: False, lambda: False)
+            return held.machine.step(now_us, one_request.Ended(decision.number, end, None, wait), none)
+        name = route.member.instance.name
+        held.tried += (name,)
+        held.member = route.member
+        held.attempts[decision.number] = (self.router.began(route, job.key, now_us), now_us)
+        self.breaker.began(name, now_us)
+        decided.append(Send(job, decision.number, route.member, decision.timeout_us))
+        return []
+
+    def _choose(self, now_us: int, job: Job, tried: tuple[str, ...]) -> Union[Route, NoRoute]:
+        """Ask the router, passing over members that the breaker leaves out, unless it leaves out all."""
+        out = tuple(one.instance.name for one in self.router.view.members.values()
+                    if not self.breaker.allows(one.instance.name, now_us))
+        route = self.router.choose(Wanted(job.key, tried + out), now_us)
+        if isinstance(route, NoRoute) and route.why is not Why.BOUND:
+            route = self.router.choose(Wanted(job.key, out), now_us)  # a second time at one that was tried
+        if isinstance(route, NoRoute) and route.why is not Why.BOUND and out:
+            route = self.router.choose(Wanted(job.key), now_us)
+        return route
+
+    def _ask(self, now_us: int, held: _Held, number: int, timeout_us: int,
+             decided: list[KeeperDecision]) -> list[one_request.RequestDecision]:
+        sent_to = held.member.instance if held.member is not None else None
+        member = self.router.view.members.get(sent_to.name) if sent_to is not None else None
+        if sent_to is None or member is None or member.instance.boot != sent_to.boot:
+            # Nobody else can tell: it stays in doubt, and is asked again while there is time.
+            return held.machine.step(now_us, one_request.Told(number, None))
+        held.questions.add(number)
+        decided.append(Ask(held.machine.job, number, member, timeout_us))
+        return []
+
+    def _close(self, now_us: int, held: _Held, number: int, end: AttemptEnd) -> None:
+        if number not in held.attempts:
+            return
+        attempt, began_us = held.attempts.pop(number)
+        proof = End.MAY_HAVE_RUN if end is AttemptEnd.WITHDRAWN else PROVES[end]
+        self.router.ended(attempt, proof, now_us)
+        if end is not AttemptEnd.WITHDRAWN:
+            members = len(self.router.view.members)
+            self.breaker.ended(attempt.member, end not in FAULTS, now_us, members)
+        if end is AttemptEnd.ANSWERED:
+            job = held.machine.job
+            self._paces.setdefault(job.route, Pace(self.terms.copy_point)).note(now_us - began_us)
--- /dev/null
+++ b/sagetrestle/attempts/request.py
@@ -0,0 +1,275 @@
+"""The state machine of one request over all its tries.
+
+    NEW -> OUT -> (WAITING -> OUT)* -> DONE          safe, or proven never to have run
+           OUT -> ASKING -> (WAITING -> ASKING)*     a charge in doubt: asked after at the same server
+
+A charge is never sent anew while it may have run. It is asked after where it was sent, by its key: *done* brings the
+answer, *still running* is asked again, *never came here* proves that it may go on.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple, Union
+
+from sagetrestle.attempts.backoff import pause_us
+from sagetrestle.attempts.values import PROVES, AttemptEnd, Fate, Job, Result
+from sagetrestle.router import End
+
+
+class State(Enum):
+    """Where a request stands."""
+
+    NEW = "new"
+    OUT = "out"
+    WAITING = "waiting for its next try"
+    ASKING = "asked after"
+    DONE = "done"
+
+
+@dataclass(frozen=True)
+class RequestTerms:
+    """Times in microseconds. ``margin_us`` is kept of the time left for the answer's way back."""
+
+    tries: int = 4
+    attempt_us: int = 2_000_000  # for one attempt at a safe request; a charge's may take all the time left
+    margin_us: int = 20_000
+    least_us: int = 30_000  # with less time left a further try is hopeless
+    ask_us: int = 400_000
+    asks: int = 8
+
+
+class Begin(NamedTuple):
+    """Send it."""
+
+
+class Ended(NamedTuple):
+    """An attempt ended; ``answer`` where there is one, ``retry_after_us`` where the server advises."""
+
+    number: int
+    end: AttemptEnd
+    answer: object = None
+    retry_after_us: int = 0
+
+
+class Told(NamedTuple):
+    """The server's word on the key; ``fate`` is None where it could not be asked."""
+
+    number: int
+    fate: Fate | None
+    answer: object = None
+
+
+class Passed(NamedTuple):
+    """Only time passes."""
+
+
+class CallerGone(NamedTuple):
+    """Nobody waits for the answer."""
+
+
+class Try(NamedTuple):
+    """Send an attempt; ``paid`` tells that it took from the retry budget."""
+
+    number: int
+    timeout_us: int
+    second_copy: bool = False
+
+
+class AskAfter(NamedTuple):
+    """Ask the member of the last attempt what became of the key."""
+
+    number: int
+    timeout_us: int
+
+
+class Cancel(NamedTuple):
+    """Give an open attempt up."""
+
+    number: int
+
+
+class Answer(NamedTuple):
+    """The request is over."""
+
+    result: Result
+
+
+RequestEvent = Union[Begin, Ended, Told, Passed, CallerGone]
+RequestDecision = Union[Try, AskAfter, Cancel, Answer]
+
+
+def _always() -> bool:
+    return True
+
+
+class Allowance(NamedTuple):
+    """What the owner allows: each call takes a retry, or a second copy, from its budget if it is paid for.
+
+    ``copy_after_us`` is when a second copy is worth it, 0 for never.
+    """
+
+    retry: Callable[[], bool] = _always
+    copy: Callable[[], bool] = _always
+    copy_after_us: int = 0
+
+
+FREELY = Allowance()
+
+
+class Request:
+    """One request. The owner chooses members, and reports how what it was told to do ended."""
+
+    def __init__(self, job: Job, terms: RequestTerms, rng: random.Random) -> None:
+        self.job, self.terms, self.state = job, terms, State.NEW
+        self.open: dict[int, int] = {}  # attempts that are out, and when each is given up
+        self.tries = self.asks = 0
+        self.due: int | None = None
+        self._rng, self._number, self._pause = rng, 0, 0
+        self._ran = False  # an attempt of it may have run, or runs
+        self._copied = False
+        self._copy_at = 0
+        self._asked = 0  # the number of the question that is out, 0: none
+        self._last = Result(AttemptEnd.NOT_SENT, ran=False)
+
+    def step(self, now_us: int, event: RequestEvent, allowed: Allowance = FREELY) -> list[RequestDecision]:
+        """Take an event and return what follows."""
+        if self.state is State.DONE:
+            return []
+        match event:
+            case Begin():
+                return self._try(now_us, allowed)
+            case Ended() if event.number in self.open:
+                del self.open[event.number]
+                return self._ended(now_us, event, allowed)
+            case Told() if event.number == self._asked:
+                return self._told(now_us, event, allowed)
+            case CallerGone():
+                return self._gone()
+            case Passed():
+                return self._passed(now_us, allowed)
+        return []
+
+    def left(self, now_us: int) -> int:
+        """Return the time left for tries."""
+        return self.job.due_us - self.terms.margin_us - now_us
+
+    # Tries
+
+    def _try(self, now_us: int, allowed: Allowance, copy: bool = False) -> list[RequestDecision]:
+        left = self.left(now_us)
+        if left < self.terms.least_us and (self.tries or left <= 0):
+            return self._over()
+        self.state = State.OUT
+        self.tries += 1
+        self._number += 1
+        timeout = max(1_000, left if self.job.key is not None else min(left, self.terms.attempt_us))
+        self.open[self._number] = now_us + timeout
+        if not copy and self.job.key is None and allowed.copy_after_us:
+            self._copy_at = now_us + allowed.copy_after_us
+        self._arm()
+        return [Try(self._number, timeout, copy)]
+
+    def _arm(self) -> None:
+        times = list(self.open.values())
+        if self._copy_at and not self._copied:
+            times.append(self._copy_at)
+        self.due = min(times, default=None)
+
+    def _ended(self, now_us: int, event: Ended, allowed: Allowance) -> list[RequestDecision]:
+        proof = PROVES[event.end]
+        if proof is End.SERVED:
+            return self._done(Result(event.end, event.answer))
+        self._ran = self._ran or proof is End.MAY_HAVE_RUN
+        self._last = Result(event.end, event.answer, event.retry_after_us, self._ran)
+        if self.open:  # a second copy is still out
+            self._arm()
+            return []
+        if self._ran and self.job.key is not None:
+            return self._ask(now_us)
+        return self._again(now_us, event.retry_after_us, allowed)
+
+    def _again(self, now_us: int, advised_us: int, allowed: Allowance) -> list[RequestDecision]:
+        """Try again after a pause, if the budget, the tries and the time allow it."""
+        self._pause = pause_us(self._pause, advised_us, self._rng)
+        hopeless = self.tries >= self.terms.tries or self.left(now_us) - self._pause < self.terms.least_us
+        if hopeless or not allowed.retry():
+            return self._over()
+        self.state, self.due = State.WAITING, now_us + self._pause
+        return []
+
+    # Charges in doubt
+
+    def _ask(self, now_us: int) -> list[RequestDecision]:
+        left = self.left(now_us)
+        if self.asks >= self.terms.asks or left < self.terms.least_us:
+            return self._over()
+        self.state = State.ASKING
+        self.asks += 1
+        self._number += 1
+        self._asked = self._number
+        timeout = min(left, self.terms.ask_us)
+        self.due = now_us + timeout
+        return [AskAfter(self._number, timeout)]
+
+    def _told(self, now_us: int, event: Told, allowed: Allowance) -> list[RequestDecision]:
+        self._asked = 0
+        match event.fate:
+            case Fate.DONE:
+                return self._done(Result(AttemptEnd.ANSWERED, event.answer))
+            case Fate.FAILED:
+                return self._done(Result(AttemptEnd.FAILED, event.answer))
+            case Fate.UNKNOWN:
+                # The server has no trace of it: its own record proves that it never ran.
+                self._ran = False
+                self._last = self._last._replace(ran=False)
+                return self._again(now_us, 0, allowed)
+        self._pause = pause_us(self._pause, 0, self._rng)
+        self.state, self.due = State.ASKING, now_us + self._pause
+        return []
+
+    # Time, and the end
+
+    def _passed(self, now_us: int, allowed: Allowance) -> list[RequestDecision]:
+        if self.due is None or now_us < self.due:
+            return []
+        if self.state is State.WAITING:
+            return self._try(now_us, allowed)
+        if self.state is State.ASKING:
+            self._asked = 0  # an answer to the question given up means nothing
+            return self._ask(now_us)
+        late = [number for number, at in self.open.items() if at <= now_us]
+        decided: list[RequestDecision] = []
+        for number in late:
+            decided.append(Cancel(number))
+            del self.open[number]
+            decided += self._ended(now_us, Ended(number, AttemptEnd.TIMED_OUT), allowed)
+        if not late and self._copy_at and not self._copied and now_us >= self._copy_at:
+            self._copied = True
+            return self._try(now_us, allowed, copy=True) if allowed.copy() else self._rearmed()
+        return decided
+
+    def _rearmed(self) -> list[RequestDecision]:
+        self._arm()
+        return []
+
+    def _gone(self) -> list[RequestDecision]:
+        """Give up what is safe to give up; a charge that is out goes on, for the try that may come."""
+        if self.job.key is not None and (self.open or self._ran):
+            return []
+        cancels: list[RequestDecision] = [Cancel(number) for number in self.open]
+        self.open.clear()
+        self.state, self.due = State.DONE, None
+        return cancels
+
+    def _over(self) -> list[RequestDecision]:
+        return self._done(self._last._replace(ran=self._ran))
+
+    def _done(self, result: Result) -> list[RequestDecision]:
+        cancels: list[RequestDecision] = [Cancel(number) for number in self.open]
+        self.open.clear()
+        self.state, self.due = State.DONE, None
+        return [*cancels, Answer(result)]
--- /dev/null
+++ b/sagetrestle/store/journal.py
@@ -0,0 +1,176 @@
+"""A durable journal of effects on SQLite: groups of entries in one transaction each, checksummed, bounded.
+
+SQLite's write-ahead log with ``synchronous=FULL`` makes a commit durable and a torn tail vanish whole. Each entry has
+a checksum of its own as well, over its number and content: a block that went bad on disk is found as it is read, and
+its key is told, so that it can be held to be in doubt. Compaction puts a snapshot of the living keys in place of all
+entries, in one transaction. The file is bounded by pages: a full journal says so, and what it holds stays readable.
+
+Errors: JournalFull where there is no room, JournalError for all else that the disk does.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+from sagetrestle.recovery.effects import Entry, Kind
+
+PAGE = 4096
+FORMAT = 1
+POINTS = ("begin", "written", "committed", "compact-begin", "compact-deleted", "compact-written", "compact-committed")
+
+
+class JournalError(Exception):
+    """The disk or the file; nothing of the group that it was raised for is durable."""
+
+
+class JournalFull(JournalError):
+    """No room: the bound on the file, or the disk."""
+
+
+class Read(NamedTuple):
+    """What a journal held: its entries in order, and the keys of entries that are spoilt ("" where unknown)."""
+
+    entries: list[Entry]
+    spoilt: list[str]
+
+
+class Journal:
+    """One journal file. Not for two threads at once.
+
+    ``at`` is called at each write point by its name (``POINTS``), so that a test can end the process there.
+    """
+
+    def __init__(self, path: Path, most_bytes: int = 256 << 20, at: Callable[[str], None] | None = None) -> None:
+        self._at = at or (lambda point: None)
+        try:
+            self._db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+            self._db.execute(f"PRAGMA page_size={PAGE}")
+            self._db.execute("PRAGMA journal_mode=WAL")
+            self._db.execute("PRAGMA synchronous=FULL")
+            self._db.execute(f"PRAGMA max_page_count={max(16, most_bytes // PAGE)}")
+            self._db.execute("CREATE TABLE IF NOT EXISTS entries"
+                             "(seq INTEGER PRIMARY KEY, key TEXT NOT NULL, data BLOB NOT NULL, sum INTEGER NOT NULL)")
+            version = self._db.execute("PRAGMA user_version").fetchone()[0]
+            if version not in (0, FORMAT):
+                raise JournalError(f"{path}: format {version} is not {FORMAT}")
+            self._db.execute(f"PRAGMA user_version={FORMAT}")
+        except sqlite3.Error as error:
+            raise _told(error) from None
+
+    def append(self, entries: Iterable[Entry]) -> None:
+        """Make a group of entries durable, all or none."""
+        rows = [(one.key, _encode(one)) for one in entries]
+        self._at("begin")
+        try:
+            self._db.execute("BEGIN IMMEDIATE")
+            self._insert(rows)
+            self._at("written")
+            self._db.execute("COMMIT")
+        except sqlite3.Error as error:
+            self._roll_back()
+            raise _told(error) from None
+        self._at("committed")
+
+    def _insert(self, rows: list[tuple[str, bytes]]) -> None:
+        first = self._db.execute("SELECT COALESCE(MAX(seq), 0) FROM entries").fetchone()[0] + 1
+        self._db.executemany("INSERT INTO entries(seq, key, data, sum) VALUES(?, ?, ?, ?)", (
+            (seq, key, data, _sum(seq, key, data)) for seq, (key, data) in enumerate(rows, start=first)))
+
+    def read(self) -> Read:
+        """Return all that is there, in order."""
+        entries: list[Entry] = []
+        spoilt: list[str] = []
+        try:
+            for seq, key, data, total in self._db.execute("SELECT seq, key, data, sum FROM entries ORDER BY seq"):
+                if total != _sum(seq, key, data):
+                    spoilt.append(key if isinstance(key, str) else "")
+                    continue
+                entries.append(_decode(data))
+        except (sqlite3.Error, msgspec.DecodeError, ValueError) as error:
+            if not isinstance(error, sqlite3.Error):
+                spoilt.append("")
+            else:
+                raise _told(error) from None
+        return Read(entries, spoilt)
+
+    def compact(self, living: Iterable[Entry]) -> None:
+        """Put a snapshot in place of all entries, and give the room back."""
+        rows = [(one.key, _encode(one)) for one in living]
+        self._at("compact-begin")
+        try:
+            self._db.execute("BEGIN IMMEDIATE")
+            self._db.execute("DELETE FROM entries")
+            self._at("compact-deleted")
+            self._insert(rows)
+            self._at("compact-written")
+            self._db.execute("COMMIT")
+            self._at("compact-committed")
+            self._db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+        except sqlite3.Error as error:
+            self._roll_back()
+            raise _told(error) from None
+
+    def size(self) -> int:
+        """Return the bytes that are in use, free pages left out."""
+        pages = self._db.execute("PRAGMA page_count").fetchone()[0]
+        free = self._db.execute("PRAGMA freelist_count").fetchone()[0]
+        return (pages - free) * PAGE
+
+    def count(self) -> int:
+        """Return how many entries there are."""
+        return self._db.execute("SELECT COUNT(*) FROM entries").fetchone()[0]
+
+    def check(self) -> list[str]:
+        """Return what SQLite finds wrong with the file; nothing where it is well."""
+        try:
+            found = [row[0] for row in self._db.execute("PRAGMA integrity_check")]
+        except sqlite3.Error as error:
+            return [str(error)]
+        return [] if found == ["ok"] else found
+
+    def close(self) -> None:
+        """Close the file."""
+        self._db.close()
+
+    def _roll_back(self) -> None:
+        if self._db.in_transaction:
+            self._db.execute("ROLLBACK")
+
+
+def _told(error: sqlite3.Error) -> JournalError:
+    full = getattr(error, "sqlite_errorcode", 0) == sqlite3.SQLITE_FULL
+    return JournalFull("the journal is full") if full else JournalError(str(error))
+
+
+class _Row(msgspec.Struct, array_like=True):
+    kind: str
+    key: str
+    at_us: int
+    server: str
+    boot: int
+    digest: bytes
+    result: bytes
+
+
+_ENCODER, _DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(_Row)
+
+
+def _encode(one: Entry) -> bytes:
+    return _ENCODER.encode(_Row(one.kind.value, *one[1:]))
+
+
+def _decode(data: bytes) -> Entry:
+    row = _DECODER.decode(data)
+    return Entry(Kind(row.kind), row.key, row.at_us, row.server, row.boot, row.digest, row.result)
+
+
+def _sum(seq: int, key: str, data: bytes) -> int:
+    """Return an entry's checksum as SQLite holds it: 64 bits, signed."""
+    value = xxhash.xxh3_64_intdigest(b"%d\0%s\0%s" % (seq, str(key).encode(), bytes(data)))
+    return value - (1 << 64) if value >= 1 << 63 else value
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -40,7 +40,8 @@
              "net/protocol": ("twisted", "net.routing", "net.transport", "net.program", "time", "datetime", *TOOLS),
              "net/transport": ("net.program", "logic", *TOOLS), "net/program": TOOLS,
              "membership": (*SEEDED, *TOOLS, "identity", "limits"),
-             "router": (*SEEDED, *TOOLS, "identity", "limits"),
+             "router": (*SEEDED, *TOOLS, "identity", "limits"), "attempts": (*SEEDED, *TOOLS, "identity"),
+             "recovery": (*IO, *TOOLS, "identity", "membership"),
              "identity": (*IO, *TOOLS, "membership"), "limits": (*IO, *TOOLS, "identity"),
              "store": ("twisted", "net", *TOOLS)}
 
--- /dev/null
+++ b/tests/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what lasts on disk."""
