Kill servers as well, compare with baselines, and send once more what no server saw

The translator was shown under its own deaths alone, and a GOAWAY amid many streams cost 25 of 40 requests their answer: all were refused for want of a retry budget, though no server had looked at them.

What was unprocessed or never sent goes out once more unpaid, as it adds no load.

--- a/sagetrestle/attempts/request.py
+++ b/sagetrestle/attempts/request.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple, Union
 
 from sagetrestle.attempts.backoff import pause_us
-from sagetrestle.attempts.values import PROVES, AttemptEnd, Fate, Job, Result
+from sagetrestle.attempts.values import PROVES, UNSEEN, AttemptEnd, Fate, Job, Result
 from sagetrestle.router import End
 
 
@@ -131,7 +131,7 @@
         self.due: int | None = None
         self._rng, self._number, self._pause = rng, 0, 0
         self._ran = False  # an attempt of it may have run, or runs
-        self._copied = False
+        self._copied = self._resent = False
         self._copy_at = 0
         self._asked = 0  # the number of the question that is out, 0: none
         self._last = Result(AttemptEnd.NOT_SENT, ran=False)
@@ -199,6 +199,9 @@
             return self._ask(now_us)
         if event.final:
             return self._over()
+        if event.end in UNSEEN and not self._resent and self.left(now_us) >= self.terms.least_us:
+            self._resent = True
+            return self._try(now_us, allowed)
         return self._again(now_us, event.retry_after_us, allowed)
 
     def _again(self, now_us: int, advised_us: int, allowed: Allowance) -> list[RequestDecision]:
--- a/sagetrestle/lab/new_server.py
+++ b/sagetrestle/lab/new_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import random
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -30,6 +31,7 @@
     half: int = 0  # the answer breaks off in its middle
     reset: int = 0  # the stream is reset after the work
     goaway: int = 0  # GOAWAY that names no stream, before the work
+    fail_share: float = 0.0  # of requests that fail after their work
     slower: float = 1.0
     answer: Callable[[dict[str, Any]], Any] | None = None  # changes the answer
 
@@ -43,9 +45,11 @@
     ran: Counter[str] = field(default_factory=Counter)
     requests: int = 0
     questions: int = 0
+    _rng: random.Random = field(default_factory=lambda: random.Random(1))
     _done: dict[str, Any] = field(default_factory=dict)
     _running: dict[str, asyncio.Future[Any]] = field(default_factory=dict)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def start(self, port: int = 0) -> NewServer:
         """Listen; the port is then ``self.port``."""
@@ -59,6 +63,14 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def die(self, down_s: float) -> None:
+        """End as a killed process does, work under way included, and come back with what was done."""
+        for task in list(self._tasks):
+            task.cancel()
+        self.close()
+        await asyncio.sleep(down_s)
+        await self.start(self.port)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         conn = h2.connection.H2Connection(h2.config.H2Configuration(client_side=False, header_encoding="utf-8"))
@@ -75,7 +87,10 @@
                         asked[event.stream_id][1].extend(event.data)
                     elif isinstance(event, h2.events.StreamEnded) and event.stream_id in asked:
                         headers, body = asked.pop(event.stream_id)
-                        asyncio.create_task(self._request(conn, writer, event.stream_id, headers, bytes(body)))
+                        task = asyncio.create_task(
+                            self._request(conn, writer, event.stream_id, headers, bytes(body)))
+                        self._tasks.add(task)
+                        task.add_done_callback(self._tasks.discard)
                 writer.write(conn.data_to_send())
         except (ConnectionError, h2.exceptions.ProtocolError, asyncio.CancelledError):
             pass
@@ -99,7 +114,7 @@
             self._answer(conn, writer, id, 503, {"type": NEVER_RAN, "title": "busy"}, ("retry-after", "0"))
             return
         value = await self._work(headers, body)
-        if self._strikes("fail"):
+        if self._strikes("fail") or self._rng.random() < self.faults.fail_share:
             self._answer(conn, writer, id, 500, {"type": "about:blank", "title": "failed"})
         elif self._strikes("drop_after"):
             writer.transport.abort()
@@ -131,10 +146,15 @@
         done = asyncio.get_running_loop().create_future()
         if key:
             self._running[key] = done
-        self.ran[key or f"read {request.get('applicant', {}).get('id', '')}"] += 1
-        await asyncio.sleep(self.work_s * self.faults.slower)
+        try:
+            await asyncio.sleep(self.work_s * self.faults.slower)
+        except asyncio.CancelledError:  # killed: its work is all or nothing
+            self._running.pop(key, None)
+            done.cancel()
+            raise
         value = report(request)
         value = self.faults.answer(value) if self.faults.answer is not None else value
+        self.ran[key or f"read {request.get('applicant', {}).get('id', '')}"] += 1
         if key:
             self._done[key] = value
             del self._running[key]
--- a/sagetrestle/net/program/translate.py
+++ b/sagetrestle/net/program/translate.py
@@ -15,7 +15,9 @@
 
 import msgspec
 
+from sagetrestle.attempts.breaker import BreakerTerms
 from sagetrestle.attempts.keeper import Keeper, KeeperTerms
+from sagetrestle.attempts.request import RequestTerms
 from sagetrestle.interface import Below, ClassSettings, Effect, Settings, Stopping
 from sagetrestle.membership.values import Endpoint, Instance, Life, Member
 from sagetrestle.membership.view import View
@@ -66,13 +68,22 @@
     thrift: str = "127.0.0.1:0"
     scgi: str = ""
     open: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 64
-    journal_mb: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 256
+    journal_mb: Annotated[float, msgspec.Meta(ge=0.1, le=65_536)] = 256
     stop_ms: Millis = 3_200
     drain_ms: Millis = 2_000
     sockets: Annotated[int, msgspec.Meta(ge=96, le=65_536)] = 1_024
     memory_mb: Annotated[int, msgspec.Meta(ge=24, le=65_536)] = 256
     charges_move: bool = False
     retry_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.08
+    retry_reserve_per_s: Annotated[float, msgspec.Meta(ge=0, le=10_000)] = 1.0
+    tries: Annotated[int, msgspec.Meta(ge=1, le=10)] = 4
+    breaker: bool = True
+
+    def terms(self) -> KeeperTerms:
+        """Return the terms of the attempts."""
+        row = BreakerTerms() if self.breaker else BreakerTerms(most_ejected=0.0)
+        return KeeperTerms(self.retry_share, self.retry_reserve_per_s, charges_move=self.charges_move,
+                           request=RequestTerms(tries=self.tries), breaker=row)
 
 
 @dataclass(frozen=True)
@@ -166,11 +177,10 @@
     def __init__(self, reactor: Any, config: TranslateConfig, logger: Any,
                  in_thread: Callable[[Callable[[], Any]], Any], at: Callable[[str], None] | None = None) -> None:
         self._config = config
-        self.journal = Journal(config.root / config.file.journal, config.file.journal_mb << 20, at)
+        self.journal = Journal(config.root / config.file.journal, int(config.file.journal_mb * (1 << 20)), at)
         router = Router(RouterTerms(window_us=config.window_us or 30_000_000), seed=0)
         router.see(view_of(config.file))
-        keeper = Keeper(router, KeeperTerms(
-            retry_share=config.file.retry_share, charges_move=config.file.charges_move), seed=int(time.time()))
+        keeper = Keeper(router, config.file.terms(), seed=int(time.time()))
         commit = GroupCommit(self.journal, in_thread)
         terms = UpstreamTerms(config.window_us)
 
