Carry the tenant through the translator, and count answers after their limit

A translator took no identity, so its servers could not be told whose request one is, and the audit of its runs did not look at the time.

An identity.toml beside the translator's file ties requests to tenants as in a scorer, and the tenant goes with the request. The audit counts answers that came after their class's limit. A test has class, hint, retry mark, key, deadline and tenant arrive, and a stranger not.

--- a/benchmarks/translation.py
+++ b/benchmarks/translation.py
@@ -21,7 +21,8 @@
         taken.add(one)
     points = " ".join(f"p{at} {taken.get_value_at_percentile(at) / 1000:.0f}" for at in (50, 99, 99.9))
     return (f"  {kind}: {got.in_time:.1%} in time, {got.extra:.3f} requests at servers a client's, {points} ms; "
-            f"{got.charged} charges, {got.doubled} doubled, {got.unfaithful} unfaithful; {got.starts} starts; "
+            f"{got.charged} charges, {got.doubled} doubled, {got.unfaithful} unfaithful, {got.late} late; "
+            f"{got.starts} starts; "
             f"statuses {dict(sorted(got.statuses.items()))}; valid {got.load.valid}")
 
 
--- a/sagetrestle/lab/new_server.py
+++ b/sagetrestle/lab/new_server.py
@@ -45,6 +45,7 @@
     ran: Counter[str] = field(default_factory=Counter)
     requests: int = 0
     questions: int = 0
+    last_headers: dict[str, str] = field(default_factory=dict)
     _rng: random.Random = field(default_factory=lambda: random.Random(1))
     _done: dict[str, Any] = field(default_factory=dict)
     _running: dict[str, asyncio.Future[Any]] = field(default_factory=dict)
@@ -106,6 +107,7 @@
             self._answer(conn, writer, id, *self._effect(headers[":path"].rpartition("/")[2]))
             return
         self.requests += 1
+        self.last_headers = headers
         if self._strikes("goaway"):
             conn.close_connection(last_stream_id=0)
             self._flush(conn, writer)
--- a/sagetrestle/lab/translation.py
+++ b/sagetrestle/lab/translation.py
@@ -12,6 +12,7 @@
 import signal
 import sys
 import tempfile
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -22,6 +23,7 @@
 from sagetrestle.lab.place import LabClass
 from sagetrestle.lab.senders import outcome_of
 
+LATE_S = 0.3  # allowed past a class's limit: the answer's slack, and both processes' share of the cores
 ROOT = Path(__file__).parent.parent.parent
 CLASSES = (LabClass("quick-check", 0.08, 0, 0.75, 1.0, 3.0),
            LabClass("paid-check", 0.12, 0, 0.25, 2.0, 6.0, charge=True))
@@ -114,6 +116,7 @@
     requests: int = 0  # at the servers
     doubled: int = 0
     unfaithful: int = 0
+    late: int = 0  # answered after the class's limit
     charged: int = 0
     starts: int = 0
     statuses: Counter[int] = field(default_factory=Counter)
@@ -145,16 +148,19 @@
         fleet[0].faults.fail_share = sick
         translator = TranslatorProcess(Path(name), fleet, slots, settings)
         await translator.start()
-        unfaithful = 0
+        unfaithful = late = 0
+        limits = {one.name: one.limit_s for one in CLASSES}
 
         async def send(one: Planned) -> Outcome:
-            nonlocal unfaithful
+            nonlocal unfaithful, late
+            began = time.monotonic()
             body = f"applicant={one.number}\n".encode()
             headers = {"HTTP_IDEMPOTENCY_KEY": one.key} if one.key else {}
             headers |= {"HTTP_X_RETRY": "1"} if one.retry else {}
             data = await ask_scgi(translator.port, one.cls, body, **headers)
             if status_of(data) == 200 and not data.endswith(b"\r\n\r\n" + old_report(body)):
                 unfaithful += 1
+            late += time.monotonic() - began > limits[one.cls] + LATE_S
             return outcome_of(data)
         rate = load * slots / work
         planned = plan(CLASSES, rate, seconds, ["t"], ["f"], seed, retries=0.3)
@@ -164,6 +170,7 @@
         with contextlib.suppress(asyncio.CancelledError):
             await trouble
         await translator.kill()
+        report.late = late
         return _audited(report, fleet, planned, unfaithful, translator.starts)
 
 
--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -72,7 +72,7 @@
     """Read the file that the environment names; name and address in the environment go first."""
     config = _read_platform(env, scgi_file)
     if identity_file is not None and identity_file.exists():
-        config = _with_identity(config, identity_file)
+        config = with_identity(config, identity_file)
     if discovery_file is not None and discovery_file.exists():
         config = _with_discovery(config, discovery_file)
     return config
@@ -90,7 +90,7 @@
         raise ConfigError(str(error)) from None
 
 
-def _with_identity(config: Config, path: Path) -> Config:
+def with_identity(config: Config, path: Path) -> Config:
     """Add what the operators' file of identity says; its libraries are loaded only here."""
     try:
         from sagetrestle.net.program import identity
--- a/sagetrestle/net/program/translate.py
+++ b/sagetrestle/net/program/translate.py
@@ -23,7 +23,7 @@
 from sagetrestle.membership.view import View
 from sagetrestle.net.program import log
 from sagetrestle.net.program.clock import Clock
-from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig
+from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig, with_identity
 from sagetrestle.net.program.limits import Limits, derive
 from sagetrestle.net.program.main import Scorer
 from sagetrestle.net.program.upstream import GroupCommit, Upstream, UpstreamTerms
@@ -118,7 +118,9 @@
     for at, one in enumerate(file.servers):
         _address(one.address, f"{path.name}: servers[{at}].address")
     window = max((one.window_ms * MS for one in file.classes), default=0)
-    return TranslateConfig(file, root, mapping, _core(path, file), window)
+    core, identity = _core(path, file), path.parent / "identity.toml"
+    core = with_identity(core, identity) if identity.exists() else core
+    return TranslateConfig(file, root, mapping, core, window)
 
 
 def _core(path: Path, file: TranslateFile) -> Config:
@@ -130,11 +132,12 @@
                         below=Below.NONE, idle_max_us=30_000_000, marks_retry=True, retry_after=True,
                         max_retry_after_us=5_000_000, drain_grace_us=file.drain_ms * MS)
     scgi = ScgiConfig(_address(file.scgi, f"{path.name}: scgi")) if file.scgi else None
-    bounds = derive(Limits(file.sockets, float(file.memory_mb)), scgi is not None, False)
+    limits = Limits(file.sockets, float(file.memory_mb))
+    bounds = derive(limits, scgi is not None, False)
     nowhere = ("127.0.0.1", 0)
     plan = Plan(settings, file.stop_ms * MS, bounds, ("core_use", "on_cores", "heap_share", "links"))
     thrift = _address(file.thrift, f"{path.name}: thrift")
-    return Config(file.name, thrift, Peers(nowhere, nowhere, nowhere), plan, scgi)
+    return Config(file.name, thrift, Peers(nowhere, nowhere, nowhere), plan, scgi, limits=limits)
 
 
 def _address(text: str, where: str) -> tuple[str, int]:
--- a/tests/net/test_translate.py
+++ b/tests/net/test_translate.py
@@ -11,6 +11,7 @@
 from sagetrestle.lab.clients import PATIENCE_S, FrontEnd, ask_scgi, status_of
 from sagetrestle.lab.new_server import NewServer, old_report
 from sagetrestle.lab.scorer import ROOT
+from sagetrestle.lab.signer import LabSigner, identity_toml
 from sagetrestle.lab.translation import under_kills
 from tests.net.scenario import call_id
 
@@ -181,6 +182,31 @@
         self.assertEqual(0, await asyncio.wait_for(self.process.wait(), PATIENCE_S))
 
 
+class CarriedTest(TranslatorCase):
+    """What goes with a request: class, hint, retry mark, key, deadline, and the tenant that its token proves."""
+
+    servers_count = 1
+
+    async def begin(self, *args, **more):
+        self.signer = LabSigner(self.home / "keys")
+        (self.home / "keys/tenants.toml").write_text('version = 1\n[tenants.lets]\nrights = ["*"]\n')
+        (self.home / "deploy/identity.toml").write_text(identity_toml(self.home / "keys"))
+        await super().begin(*args, **more)
+
+    async def test_all_of_it_arrives_and_a_stranger_does_not(self):
+        token = self.signer.token("lets", ["paid-check"], "j", BODY)
+        data = await ask_scgi(self.ports["scgi"], "paid-check", BODY, HTTP_IDEMPOTENCY_KEY="K", HTTP_X_RETRY="1",
+                              HTTP_X_WORK_HINT_MS="12.5", HTTP_AUTHORIZATION=f"Bearer {token}")
+        self.assertEqual(200, status_of(data))
+        got = self.servers[0].last_headers
+        self.assertEqual(("/v2/charges", "1", "12.5", "lets"),
+                         (got[":path"], got["retry-attempt"], got["work-hint-ms"], got["tenant"]))
+        self.assertRegex(got["idempotency-key"], '^"[0-9a-f]{64}"$')
+        self.assertTrue(0 < int(got["deadline-ms"]) <= 4_000)
+        self.assertEqual(401, status_of(await self.ask()))
+        self.assertEqual(1, self.servers[0].requests)
+
+
 class ChargeTest(TranslatorCase):
     """An effect runs once, whatever breaks."""
 
@@ -366,7 +392,7 @@
 
     async def test_under_kills_at_130_percent_every_answer_is_faithful_and_no_charge_runs_twice(self):
         got = await under_kills(8.0, seed=2)
-        self.assertEqual((0, 0), (got.doubled, got.unfaithful))
+        self.assertEqual((0, 0, 0), (got.doubled, got.unfaithful, got.late))
         self.assertGreaterEqual(got.starts, 2)
         self.assertGreater(got.charged, 30)
         self.assertLessEqual(set(got.statuses), {0, 200, 422, 502, 503, 504})  # 0: the connection dropped with it
