--- a/sagetrestle/identity/files.py
+++ b/sagetrestle/identity/files.py
@@ -8,11 +8,12 @@
 
 import ipaddress
 import math
-from typing import Annotated, Any
+from typing import Annotated, Literal
 
 import msgspec
 from immutables import Map
 
+from sagetrestle.forms import decoded
 from sagetrestle.identity.judge import Terms
 from sagetrestle.identity.ring import FAR_US, MAX_KEYS, Ring, RingError, RingKey
 from sagetrestle.identity.tenants import Cap, Directory, Tenant, TenantError, directory
@@ -108,7 +109,7 @@
 
 def read_identity(data: bytes) -> IdentityFile | None:
     """Read the operators' file; None where it is there but off. Raises FileError."""
-    found = _decoded(data, IdentityFile, "toml")
+    found = decoded(data, IdentityFile, "toml", FileError)
     for peer in found.trusted_peers:
         try:
             ipaddress.ip_address(peer)
@@ -123,7 +124,7 @@
     A ring with no active key is held for a mistake and not taken, unless it revokes one: a revocation counts
     whatever else is wrong.
     """
-    found = _decoded(data, _RingFile, "json")
+    found = decoded(data, _RingFile, "json", FileError)
     keys: dict[str, RingKey] = {}
     thumbprints: dict[str, str] = {}
     for at, row in enumerate(found.keys):
@@ -159,13 +160,13 @@
     return msgspec.json.format(msgspec.json.encode(_RingFile(ring.version, rows)), indent=1) + b"\n"
 
 
-def read_tenants(data: bytes, form: str, classes: frozenset[str] | None = None) -> Directory:
+def read_tenants(data: bytes, form: Literal["toml", "json"], classes: frozenset[str] | None = None) -> Directory:
     """Read the tenants from ``toml`` or ``json``. Raises FileError.
 
     With ``classes`` a right to anything else is held for a mistake. JSON is for large directories: its
     reader is compiled, TOML's is not.
     """
-    found = _decoded(data, _TenantsFile, form)
+    found = decoded(data, _TenantsFile, form, FileError)
     tenants, certificates, front_ends = [], [], []
     for name, row in found.tenants.items():
         unknown = set(row.rights) - classes - {"*"} if classes is not None else ()
@@ -181,15 +182,3 @@
         return directory(found.version, tenants, certificates, front_ends, found.revoked_serials)
     except TenantError as error:
         raise FileError(str(error)) from None
-
-
-def _decoded(data: bytes, form: Any, kind: str) -> Any:
-    """Decode bytes into a form; what is wrong is named by its path."""
-    decode = msgspec.toml.decode if kind == "toml" else msgspec.json.decode
-    try:
-        return decode(data, type=form)
-    except msgspec.ValidationError as error:
-        text, _, path = str(error).partition(" - at `$.")
-        raise FileError(f"{path.rstrip('`')}: {text}" if path else text) from None
-    except (msgspec.DecodeError, ValueError) as error:
-        raise FileError(f"can not be read: {error}") from None
--- a/sagetrestle/membership/files.py
+++ b/sagetrestle/membership/files.py
@@ -8,11 +8,12 @@
 import ipaddress
 import re
 from collections.abc import Iterable
-from typing import Annotated, Any
+from typing import Annotated
 
 import msgspec
 import xxhash
 
+from sagetrestle.forms import decoded
 from sagetrestle.membership.values import Endpoint, Instance, Member
 
 LABEL = re.compile(r"[A-Za-z0-9]([A-Za-z0-9 _-]{0,61}[A-Za-z0-9])?")
@@ -98,7 +99,7 @@
 
 def read_discovery(data: bytes) -> DiscoveryFile | None:
     """Read the operators' file; None where it is there but off. Raises FileError."""
-    found = _decoded(data, DiscoveryFile, msgspec.toml.decode)
+    found = decoded(data, DiscoveryFile, "toml", FileError)
     address(found.server, "server")
     if not DOMAIN.fullmatch(found.domain):
         raise FileError(f"domain: {found.domain!r}: not a domain name")
@@ -130,7 +131,7 @@
 
 def read_static(data: bytes) -> tuple[tuple[Instance, ...], tuple[str, ...]]:
     """Read the static list (TOML): instances, and the names of those that are pinned. Raises FileError."""
-    found = _decoded(data, _StaticFile, msgspec.toml.decode)
+    found = decoded(data, _StaticFile, "toml", FileError)
     names: set[str] = set()
     instances = []
     for at, row in enumerate(found.instances):
@@ -155,7 +156,7 @@
 
 def read_saved(data: bytes) -> tuple[Instance, ...]:
     """Read the view saved last. Raises FileError where it is not what was saved."""
-    found = _decoded(data, _SavedFile, msgspec.json.decode)
+    found = decoded(data, _SavedFile, "json", FileError)
     if found.digest != _digest(found.instances):
         raise FileError("digest: does not hold")
     return tuple(Instance(row.name, Endpoint(row.host, row.port), row.priority, row.weight, row.boot, False,
@@ -164,13 +165,3 @@
 
 def _digest(rows: list[_SavedRow]) -> str:
     return xxhash.xxh3_128_hexdigest(msgspec.json.encode(rows))
-
-
-def _decoded(data: bytes, form: Any, decode: Any) -> Any:
-    try:
-        return decode(data, type=form)
-    except msgspec.ValidationError as error:
-        text, _, path = str(error).partition(" - at `$.")
-        raise FileError(f"{path.rstrip('`')}: {text}" if path else text) from None
-    except (msgspec.DecodeError, ValueError) as error:
-        raise FileError(f"can not be read: {error}") from None
--- a/sagetrestle/net/program/translate.py
+++ b/sagetrestle/net/program/translate.py
@@ -18,6 +18,7 @@
 from sagetrestle.attempts.breaker import BreakerTerms
 from sagetrestle.attempts.keeper import Keeper, KeeperTerms
 from sagetrestle.attempts.request import RequestTerms
+from sagetrestle.forms import decoded
 from sagetrestle.interface import Below, ClassSettings, Effect, Settings, Stopping
 from sagetrestle.membership.values import Endpoint, Instance, Life, Member
 from sagetrestle.membership.view import View
@@ -100,11 +101,8 @@
 def load_translate(path: Path) -> TranslateConfig:
     """Read the file and its mapping. Raises ConfigError, which names file and field."""
     try:
-        file = msgspec.toml.decode(path.read_bytes(), type=TranslateFile)
-    except msgspec.ValidationError as error:
-        text, _, where = str(error).partition(" - at `$.")
-        raise ConfigError(f"{path.name}: {where.rstrip('`')}{': ' if where else ''}{text}") from None
-    except (OSError, ValueError) as error:
+        file: TranslateFile = decoded(path.read_bytes(), TranslateFile, "toml", ConfigError)
+    except (OSError, ConfigError) as error:
         raise ConfigError(f"{path.name}: {error}") from None
     for at, one in enumerate(file.classes):
         if one.effect == "keyed" and not one.window_ms:
--- a/sagetrestle/translation/mapping.py
+++ b/sagetrestle/translation/mapping.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from sagetrestle.forms import decoded
+
 NAME = re.compile(r"[a-z][a-z0-9_-]{0,63}")
 PATH = re.compile(r"[A-Za-z_][A-Za-z0-9_]{0,63}(\.[A-Za-z_][A-Za-z0-9_]{0,63}){0,7}")
 Type = Literal["text", "integer", "decimal", "flag", "list"]
@@ -59,13 +61,7 @@
 
 def read_mapping(data: bytes, classes: frozenset[str] | None = None) -> Mapping:
     """Read a mapping (TOML). With ``classes`` each of them must be mapped. Raises MappingError."""
-    try:
-        found = msgspec.toml.decode(data, type=Mapping)
-    except msgspec.ValidationError as error:
-        text, _, path = str(error).partition(" - at `$.")
-        raise MappingError(f"{path.rstrip('`')}: {text}" if path else text) from None
-    except (msgspec.DecodeError, ValueError) as error:
-        raise MappingError(f"can not be read: {error}") from None
+    found: Mapping = decoded(data, Mapping, "toml", MappingError)
     for name, one in found.classes.items():
         _check_class(name, one)
     for name in sorted((classes or frozenset()) - set(found.classes)):
