--- a/sagetrestle/identity/tokens.py
+++ b/sagetrestle/identity/tokens.py
@@ -3,7 +3,7 @@
 Signatures are PyJWT's algorithms over cryptography. What is decided here is which headers are looked at at
 all: the algorithm must be one of two and the key's own, so that neither ``none`` nor a public key taken for a
 shared secret gets anywhere (RFC 8725, 3.1 and 3.2); key ids are looked up in the ring and nowhere else.
-PyJWT's own decoder is not used: it looks at a token character by character, which cost as much as a signature.
+PyJWT's own decoder is not used: a profile showed it looking at every character of a token.
 """
 
 from __future__ import annotations
