--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -50,6 +50,7 @@
     scgis: Address | None = None  # the SCGI front with TLS, which identity.toml sets
     limits: Limits = LEAST
     discovery: DiscoveryConfig | None = None
+    management: Address | None = None  # the second address
 
 
 # What a reload leaves as it is, by the names that the files have for it.
@@ -58,6 +59,7 @@
     "stop_ms": lambda one: one.plan.stop_us, "limits": lambda one: one.plan.bounds,
     "settings": lambda one: (one.plan.settings, one.plan.gauges), "scgi.toml": lambda one: one.scgi,
     "discovery.toml": lambda one: one.discovery,
+    "management": lambda one: one.management,
     "identity.toml": lambda one: (one.identity and one.identity.file, one.scgis),
 }
 
@@ -106,7 +108,8 @@
     tls, limits = found.file.tls, config.limits
     listen = tls and _loopback({"tls.listen": tls.listen}, "tls.listen", f"{path.name}: ")
     dns = config.scgi is not None and config.scgi.dns_listen is not None
-    bounds = derive(limits, config.scgi is not None, dns, listen is not None)
+    managed = config.management is not None
+    bounds = derive(limits, config.scgi is not None, dns, listen is not None, managed)
     plan = replace(config.plan, settings=identity.with_tenants(settings, found), bounds=bounds)
     return replace(config, plan=plan, identity=found, scgis=listen)
 
@@ -125,9 +128,13 @@
     name = env.get("ROUTER_NAME") or _text(told, "name")
     if env.get("ROUTER_LISTEN"):
         told["listen"] = env["ROUTER_LISTEN"]
+    if env.get("ROUTER_MANAGEMENT"):
+        told["management"] = env["ROUTER_MANAGEMENT"]
+    management = _address(told, "management") if "management" in told else None
     peers = Peers(_address(told, "kernel"), _address(told, "ledger"), _address(told, "roster"))
     scgi = read_scgi(scgi_file, name)
-    return Config(name, _address(told, "listen"), peers, _plan(told, scgi), scgi, limits=_limits(told))
+    return Config(name, _address(told, "listen"), peers, _plan(told, scgi, management is not None), scgi,
+                  limits=_limits(told), management=management)
 
 
 def read_scgi(path: Path, name: str) -> ScgiConfig | None:
@@ -174,7 +181,7 @@
     return Limits(int(given["sockets"]), float(given["memory_mb"]))
 
 
-def _plan(told: dict[str, Any], scgi: ScgiConfig | None) -> Plan:
+def _plan(told: dict[str, Any], scgi: ScgiConfig | None, managed: bool) -> Plan:
     params = told.get("settings")
     if not isinstance(params, dict):
         raise ConfigError("settings: missing or not an object")
@@ -192,8 +199,9 @@
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"settings: {error}") from None
     gauges = (params.get("extra") or {}).get("gauges") or ()
-    bounds = derive(_limits(told), scgi is not None, scgi is not None and scgi.dns_listen is not None)
-    return Plan(settings, int(stop_ms * 1000), bounds, tuple(str(one) for one in gauges), seed)
+    dns = scgi is not None and scgi.dns_listen is not None
+    bounds = derive(_limits(told), scgi is not None, dns, managed=managed)
+    return Plan(settings, int(stop_ms * 1000), bounds, tuple(str(one) for one in gauges), seed, managed)
 
 
 def _text(told: dict[str, Any], name: str) -> str:
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -19,6 +19,7 @@
 from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig, fixed_fields, read_config
 from sagetrestle.net.program.loop import TurnLoop
 from sagetrestle.net.routing import effects as fx
+from sagetrestle.net.routing.health import good
 from sagetrestle.net.routing.inputs import Reconfigured, ReloadFailed, Started, StopAsked
 from sagetrestle.net.routing.state import new_state
 from sagetrestle.net.routing.values import ConnectionId
@@ -35,8 +36,9 @@
     from sagetrestle.net.program.discovery import DiscoveryConfig
     from sagetrestle.net.program.identity import IdentityConfig
     from sagetrestle.net.transport.credentials import CredentialReader
+    from sagetrestle.net.transport.management import ManagementFront
 
-BACKLOG = 512
+BACKLOG, MANAGEMENT_BACKLOG = 512, 128
 COLLECT = (5_000, 10, 10)  # almost nothing here is part of a cycle: looking for them seldom is enough
 EXIT_AFTER_S = 0.03  # for the last answers to leave their sockets
 SCGI_FILE, IDENTITY_FILE = Path("deploy/scgi.toml"), Path("deploy/identity.toml")
@@ -61,10 +63,14 @@
         self.ledger = LedgerPool(reactor, post, bounds.calls)
         self.roster = Roster(config.name)
         self.dns: DnsResponder | None = None
+        self.management: ManagementFront | None = None
         self.exit_code = 0
         self._tls: Any = None
         self._watch: Any = None
         self._publisher: Any = None
+        if config.management:
+            from sagetrestle.net.transport.management import ManagementFront
+            self.management = ManagementFront(reactor, post, bounds.management)
         credentials = None
         if config.identity:
             credentials = self._add_identity(config.identity, post)
@@ -141,6 +147,8 @@
                 self._with_connection(name, self.fronts[name.front].doubt)
             case fx.CloseConnection(name):
                 self._with_connection(name, FrontConnection.close)
+            case fx.AnswerOperator(caller, reply):
+                self.management.answer(caller, reply)
             case fx.ConnectKernel(number, address):
                 self.kernel.connect(number, address)
             case fx.UseLedger(address):
@@ -169,6 +177,10 @@
         host, port = self.config.listen
         try:
             self.roster.listen(self.reactor, host)
+            if self.management:
+                at, number = self.config.management
+                self.management.port = self.reactor.listenTCP(number, self.management, MANAGEMENT_BACKLOG, at)
+                self._listens("management", at, self.management.port.getHost().port)
             thrift_port = self._open(self.thrift, host, port)
             if self.config.scgi:
                 self._listen_scgi(self.config.scgi)
@@ -217,7 +229,7 @@
         what = registration(discovery, self.config.name, host, port, told)
         self._publisher = PublisherHost(
             self.reactor, discovery, what, self._log.line, time.time, self.config.plan.seed)
-        self._publisher.want(self.loop.state.healthy and self.loop.state.policy is not None)
+        self._publisher.want(good(self.loop.state) and self.loop.state.policy is not None)
 
     def _announce(self, on: bool) -> None:
         if self._publisher:
--- /dev/null
+++ b/sagetrestle/net/protocol/management.py
@@ -0,0 +1,153 @@
+"""The second address: HTTP/1.1 as RFC 9112 has it, one call a connection, read piece by piece within bounds.
+
+Only what the operators' calls need: no body is used, and one that comes is read past up to its bound.
+"""
+
+from __future__ import annotations
+
+import re
+from http import HTTPStatus
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+MAX_LINE = 2 * 1024  # bytes of the request line
+MAX_HEADERS = 8 * 1024  # bytes of all header lines together
+MAX_BODY = 4 * 1024  # bytes of a body, which is not looked at
+TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+VERSION = re.compile(rb"HTTP/(\d)\.(\d)")
+TARGET = re.compile(rb"[!-~]+")
+VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+LENGTH = re.compile(rb"[0-9]{1,18}")
+METHODS = {
+    "/api/ready": ("GET", "HEAD"),
+    "/api/telemetry": ("GET", "HEAD"),
+    "/api/evacuate": ("POST",),
+    "/api/rejoin": ("POST",),
+}
+
+
+class CallError(Exception):
+    """A call that can not be answered as asked. ``status`` says why; ``allow`` names the methods of a 405."""
+
+    def __init__(self, status: HTTPStatus, detail: str, allow: tuple[str, ...] = ()) -> None:
+        super().__init__(detail)
+        self.status, self.allow = status, allow
+
+
+class Call(NamedTuple):
+    """One whole call: the path is one of ``METHODS``, ``head`` asks for the answer without its text."""
+
+    path: str
+    head: bool
+
+
+class CallDecoder:
+    """Reads the one call of a connection; what follows it is dropped. Holds at most the bounds above."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._scanned = 0  # of the buffer, known to hold no line's end
+        self._start: tuple[bytes, bytes, int] | None = None  # method, target, minor version
+        self._headers: dict[bytes, bytes] = {}
+        self._header_bytes = 0
+        self._body: int | None = None  # bytes of it yet to come, once the headers are read
+
+    def feed(self, data: bytes) -> Call | None:
+        """Take more bytes and return the call once it is whole. Raises CallError, after which it is of no use."""
+        self._buffer += data
+        while self._body is None:
+            line = self._line()
+            if line is None:
+                return None
+            if self._start is None:
+                if line:  # empty lines ahead are skipped (RFC 9112, 2.2), and counted as headers
+                    self._start = _start_line(line)
+            elif line:
+                self._header(line)
+            else:
+                self._body = self._body_length()
+        taken = min(self._body, len(self._buffer))
+        del self._buffer[:taken]
+        self._body -= taken
+        return self._call() if self._body == 0 else None
+
+    def _line(self) -> bytes | None:
+        """Cut off the next line, whose end may be a bare LF (RFC 9112, 2.2)."""
+        at = self._buffer.find(b"\n", self._scanned)
+        length = len(self._buffer) if at < 0 else at
+        if self._start is None and length > MAX_LINE:
+            raise CallError(HTTPStatus.REQUEST_URI_TOO_LONG, f"a request line of over {MAX_LINE} bytes")
+        if self._header_bytes + (length if self._start else 0) > MAX_HEADERS:
+            raise CallError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, f"headers of over {MAX_HEADERS} bytes")
+        if at < 0:
+            self._scanned = len(self._buffer)
+            return None
+        line = bytes(self._buffer[:at]).removesuffix(b"\r")
+        del self._buffer[:at + 1]
+        self._scanned = 0
+        if self._start is not None or not line:
+            self._header_bytes += at + 1
+        return line
+
+    def _header(self, line: bytes) -> None:
+        name, colon, value = line.partition(b":")
+        value = value.strip(b" \t")
+        if not colon or not TOKEN.fullmatch(name) or not VALUE.fullmatch(value):
+            raise CallError(HTTPStatus.BAD_REQUEST, "a header line that can not be read")
+        name = name.lower()
+        if name in self._headers and name in (b"host", b"content-length") and self._headers[name] != value:
+            raise CallError(HTTPStatus.BAD_REQUEST, f"{name.decode()} comes twice")
+        if name in self._headers and name == b"host":
+            raise CallError(HTTPStatus.BAD_REQUEST, "host comes twice")
+        self._headers[name] = value
+
+    def _body_length(self) -> int:
+        assert self._start is not None
+        if self._start[2] >= 1 and b"host" not in self._headers:  # RFC 9112, 3.2
+            raise CallError(HTTPStatus.BAD_REQUEST, "no Host")
+        if b"transfer-encoding" in self._headers:  # RFC 9112, 6.1: a coding that is not understood
+            raise CallError(HTTPStatus.NOT_IMPLEMENTED, "bodies come with their length here")
+        told = self._headers.get(b"content-length", b"0")
+        if not LENGTH.fullmatch(told):
+            raise CallError(HTTPStatus.BAD_REQUEST, "a Content-Length that is no number")
+        if int(told) > MAX_BODY:
+            raise CallError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, f"a body of over {MAX_BODY} bytes")
+        return int(told)
+
+    def _call(self) -> Call:
+        assert self._start is not None
+        method, target, _ = self._start
+        try:
+            path = urlsplit(target.decode("ascii")).path if target[:1] != b"/" else (
+                target.decode("ascii").partition("?")[0])
+        except ValueError:
+            raise CallError(HTTPStatus.BAD_REQUEST, "a target that can not be read") from None
+        if path not in METHODS:
+            raise CallError(HTTPStatus.NOT_FOUND, f"no such path; there are {', '.join(METHODS)}")
+        word = method.decode("ascii")
+        if word not in METHODS[path]:
+            allow = METHODS[path]
+            raise CallError(HTTPStatus.METHOD_NOT_ALLOWED, f"{path} takes {', '.join(allow)}", allow)
+        return Call(path, word == "HEAD")
+
+
+def _start_line(line: bytes) -> tuple[bytes, bytes, int]:
+    words = line.split(b" ")
+    if len(words) != 3 or not TOKEN.fullmatch(words[0]) or not TARGET.fullmatch(words[1]):
+        raise CallError(HTTPStatus.BAD_REQUEST, "a request line that can not be read")
+    version = VERSION.fullmatch(words[2])
+    if version is None:
+        raise CallError(HTTPStatus.BAD_REQUEST, "a version that can not be read")
+    if version[1] != b"1":
+        raise CallError(HTTPStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP/1.1 is spoken here")
+    return words[0], words[1], int(version[2])
+
+
+def encode_answer(status: HTTPStatus, text: str, head: bool = False, allow: tuple[str, ...] = ()) -> bytes:
+    """Write the answer to a call, after which the connection closes; one to HEAD is without its text."""
+    body = text.encode()
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}", "Content-Type: text/plain; charset=utf-8",
+             f"Content-Length: {len(body)}", "Cache-Control: no-store", "Connection: close"]
+    if allow:
+        lines.append(f"Allow: {', '.join(allow)}")
+    return "\r\n".join([*lines, "", ""]).encode() + (b"" if head else body)
--- a/sagetrestle/net/routing/access.py
+++ b/sagetrestle/net/routing/access.py
@@ -13,7 +13,7 @@
 from sagetrestle.identity.values import Asked, Cause, Credential, Presented, Verdict
 from sagetrestle.interface import Effect, Gone
 from sagetrestle.net.routing import inputs
-from sagetrestle.net.routing.effects import Doubt, SendAnswer
+from sagetrestle.net.routing.effects import Doubt
 from sagetrestle.net.routing.state import Entry, Phase
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import Denied, Failed, FailCause, Request, Ticket
@@ -93,7 +93,7 @@
         retry_after_us = retry_after_us or BUSY_US
     elif verdict.tenant is None:
         turn.effects.append(Doubt(request.ticket.connection))
-    turn.effects.append(SendAnswer(request.ticket, Denied(verdict.cause, retry_after_us), turn.state.value))
+    turn.final(request, Denied(verdict.cause, retry_after_us))
 
 
 def admit(turn: Turn, request: Request, verdict: Verdict) -> tuple[bool, bool]:
@@ -208,7 +208,7 @@
     for ticket, request in list(turn.state.unverified.items()):
         if turn.state.exited or turn.now > request.arrived + classes[request.cls].deadline_us:
             withdraw(turn, ticket)
-            turn.effects.append(SendAnswer(ticket, Failed(FailCause.OVERDUE), turn.state.value))
+            turn.final(request, Failed(FailCause.OVERDUE))
 
 
 def _guard(turn: Turn) -> Guard:
--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -8,8 +8,8 @@
 
 from sagetrestle import interface as face
 from sagetrestle.interface import Outcome, RunEnded
-from sagetrestle.net.routing import access
-from sagetrestle.net.routing.effects import Announce, CommandRun, PostCall, Report
+from sagetrestle.net.routing import access, health
+from sagetrestle.net.routing.effects import CommandRun, PostCall
 from sagetrestle.net.routing.state import Entry, Phase
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import CommandKind, Refused
@@ -38,6 +38,7 @@
         entry.phase, entry.ran = Phase.RUNNING, True
         turn.state.keys.started(entry.request)
         access.started(turn, entry)
+        turn.state.figures.attempts += 1
         name = turn.state.plan.settings.classes[entry.request.cls].name
         turn.command(entry, CommandRun(CommandKind.START, action.id, name, entry.request.body))
 
@@ -105,13 +106,8 @@
 
 def _health(turn: Turn, action: face.Health) -> None:
     """Let health checks, the roster and the service records follow the module."""
-    set_health(turn, action.good)
-
-
-def set_health(turn: Turn, good: bool) -> None:
-    """Tell the roster at once, and announce or withdraw the fronts' service records."""
-    turn.state.healthy = good and turn.state.drain is None
-    turn.effects += [Report(turn.state.healthy), Announce(turn.state.healthy)]
+    turn.state.healthy = action.good
+    health.changed(turn)
 
 
 def _say(turn: Turn, action: face.Say) -> None:
--- a/sagetrestle/net/routing/chores.py
+++ b/sagetrestle/net/routing/chores.py
@@ -6,10 +6,9 @@
 from collections.abc import Callable
 
 from sagetrestle.interface import Drain, Gone
-from sagetrestle.net.routing import access, fronts, inputs, runs
-from sagetrestle.net.routing.actions import set_health
+from sagetrestle.net.routing import access, fronts, health, inputs, runs
 from sagetrestle.net.routing.effects import (
-    AskGauges, AskToLeave, CloseConnection, Exit, Listen, Report, StopListening, UseLedger, UseRoster,
+    AskGauges, AskToLeave, CloseConnection, Exit, Listen, StopListening, UseLedger, UseRoster,
 )
 from sagetrestle.net.routing.state import Drain as DrainState
 from sagetrestle.net.routing.state import Link
@@ -44,7 +43,8 @@
     if item.peers.ledger != old.ledger:
         turn.effects.append(UseLedger(item.peers.ledger))
     if item.peers.roster != old.roster:
-        turn.effects += [UseRoster(item.peers.roster), Report(turn.state.healthy)]
+        turn.effects.append(UseRoster(item.peers.roster))
+        health.report(turn)
     if item.peers.kernel != old.kernel:
         runs.move(turn)
     moved = [name for name, now, was in zip(old._fields, item.peers, old, strict=True) if now != was]
@@ -67,7 +67,8 @@
     stop_at = turn.now + state.plan.stop_us
     state.drain = DrainState(turn.now, turn.now + grace, stop_at - EXIT_BEFORE_US)
     state.chores["drain"] = state.drain.close_at
-    set_health(turn, False)
+    state.healthy = False
+    health.changed(turn)
     if state.policy:
         turn.events.append(Drain(stop_at))
     else:
@@ -81,7 +82,7 @@
 
 
 def _report(turn: Turn) -> None:
-    turn.effects.append(Report(turn.state.healthy))
+    health.report(turn)
     turn.state.chores["report"] = turn.now + REPORT_EVERY_US
 
 
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple, Union
 
-from sagetrestle.net.routing.values import Address, Answer, CommandKind, ConnectionId, Ticket
+from sagetrestle.net.routing.values import Address, Answer, CommandKind, ConnectionId, Reply, Ticket
 
 
 class Listen(NamedTuple):
@@ -31,6 +31,13 @@
     value: float | None
 
 
+class AnswerOperator(NamedTuple):
+    """Answer a call at the second address."""
+
+    caller: int
+    reply: Reply
+
+
 class AskToLeave(NamedTuple):
     """Tell the other side that no new request may come on this connection."""
 
@@ -128,7 +135,7 @@
 
 
 Effect = Union[
-    Listen, StopListening, SendAnswer, SendHealth, AskToLeave, CloseConnection, Doubt, ConnectKernel,
+    Listen, StopListening, SendAnswer, SendHealth, AnswerOperator, AskToLeave, CloseConnection, Doubt, ConnectKernel,
     OpenKernel, UseLedger, UseRoster, CommandRun, AskGauges, PostCall, AbandonCall, Report, Announce,
     WriteLog, Exit,
 ]
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -4,8 +4,8 @@
 
 from sagetrestle.identity.values import Verdict
 from sagetrestle.interface import Arrived, Gone
-from sagetrestle.net.routing import access, inputs
-from sagetrestle.net.routing.effects import AskToLeave, CloseConnection, Doubt, SendAnswer, SendHealth
+from sagetrestle.net.routing import access, health, inputs
+from sagetrestle.net.routing.effects import AskToLeave, CloseConnection, Doubt, SendHealth
 from sagetrestle.net.routing.state import Connection, Entry
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import (
@@ -66,12 +66,11 @@
 
 
 def health_asked(turn: Turn, item: inputs.HealthAsked) -> None:
-    """Answer a health check from what the module last said."""
+    """Answer a health check."""
     connection = turn.state.connections.get(item.ticket.connection)
     if connection:
         connection.used_at, connection.proven = turn.now, True
-        good = turn.state.healthy and turn.state.drain is None
-        turn.effects.append(SendHealth(item.ticket, good, turn.state.value))
+        turn.effects.append(SendHealth(item.ticket, health.good(turn.state), turn.state.value))
 
 
 def request_read(turn: Turn, item: inputs.RequestRead) -> None:
@@ -91,18 +90,18 @@
     connection.used_at = turn.now
     if state.policy is None:
         connection.proven = True
-        _answer_now(turn, request, Refused(NOT_UP_US))
+        turn.final(request, Refused(NOT_UP_US))
     elif stamp > turn.now + AHEAD_US:
         _doubtful(turn, request, "its stamp is ahead of the clock", Failed())
     elif turn.now > stamp + state.plan.settings.classes[request.cls].deadline_us:
         # Told of these, the module would take a stamp from long ago for a long wait unread.
         connection.proven = True
-        _answer_now(turn, request, Failed(FailCause.OVERDUE))
+        turn.final(request, Failed(FailCause.OVERDUE))
     elif request.id in state.entries:
         _doubtful(turn, request, "it came before under this id", Failed())
     elif len(state.entries) + len(state.unverified) >= state.plan.bounds.requests:
         connection.proven = True
-        _answer_now(turn, request, Refused(NO_ROOM_US))
+        turn.final(request, Refused(NO_ROOM_US))
     elif state.guard is None:
         _known(turn, connection, request)
     else:
@@ -162,12 +161,7 @@
     """Answer a request that no honest client sends."""
     turn.log(f"request {request.id} not taken: {why}")
     turn.effects.append(Doubt(request.ticket.connection))
-    _answer_now(turn, request, answer)
-
-
-def _answer_now(turn: Turn, request: Request, answer: Answer) -> None:
-    """Answer a request that the module is not told of."""
-    turn.effects.append(SendAnswer(request.ticket, answer, turn.state.value))
+    turn.final(request, answer)
 
 
 def _desert(turn: Turn, ticket: Ticket) -> None:
--- a/sagetrestle/net/routing/inputs.py
+++ b/sagetrestle/net/routing/inputs.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple, Union
 
 from sagetrestle.net.routing.values import (
-    CallVerdict, CommandKind, ConnectionEnd, ConnectionId, Peers, Request, RunEnd, Ticket,
+    CallVerdict, CommandKind, ConnectionEnd, ConnectionId, OperatorCall, Peers, Request, RunEnd, Ticket,
 )
 
 if TYPE_CHECKING:
@@ -87,6 +87,13 @@
     ticket: Ticket
 
 
+class ManagementAsked(NamedTuple):
+    """The operators ask something at the second address."""
+
+    caller: int
+    call: OperatorCall
+
+
 class KernelConnected(NamedTuple):
     """The link to the kernel with this number stands, with nothing said on it yet."""
 
@@ -174,7 +181,7 @@
 
 Input = Union[
     Started, Reconfigured, ReloadFailed, IdentityRead, IdentityFailed, StopAsked, ConnectionOpened,
-    ConnectionEnded, RequestRead, RequestRejected, Withdrawn, HealthAsked, KernelConnected, KernelLost,
+    ConnectionEnded, RequestRead, RequestRejected, Withdrawn, HealthAsked, ManagementAsked, KernelConnected, KernelLost,
     KernelBooted, RunOver, RunCalls, GaugesRead, CommandRejected, KernelRemark, CallAnswered, CallBroken,
     LedgerLost,
 ]
--- a/sagetrestle/net/routing/reducer.py
+++ b/sagetrestle/net/routing/reducer.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from sagetrestle.interface import Woke
-from sagetrestle.net.routing import access, calls, chores, fronts, inputs, runs
+from sagetrestle.net.routing import access, calls, chores, fronts, inputs, management, runs
 from sagetrestle.net.routing.actions import carry_out
 from sagetrestle.net.routing.effects import Effect
 from sagetrestle.net.routing.state import State
@@ -27,6 +27,7 @@
     inputs.RequestRejected: fronts.rejected,
     inputs.Withdrawn: fronts.withdrawn,
     inputs.HealthAsked: fronts.health_asked,
+    inputs.ManagementAsked: management.asked,
     inputs.KernelConnected: runs.connected,
     inputs.KernelLost: runs.lost,
     inputs.KernelBooted: runs.booted,
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -10,6 +10,7 @@
 from sagetrestle.interface import Gauges
 from sagetrestle.logic import Policy
 from sagetrestle.net.routing.effects import CommandRun
+from sagetrestle.net.routing.figures import Figures
 from sagetrestle.net.routing.keys import KeyTable
 from sagetrestle.net.routing.values import CommandKind, ConnectionId, Peers, Plan, Request, Ticket
 
@@ -119,7 +120,9 @@
     guard: Guard | None = None  # None: identity is off
     unverified: dict[Ticket, Request] = field(default_factory=dict)
     groups: dict[str, int] = field(default_factory=dict)  # tenants that the module weighs one by one
-    healthy: bool = True
+    healthy: bool = True  # as the module says
+    evacuated: bool = False  # by the operators, until they say otherwise
+    figures: Figures = field(default_factory=Figures)
     value: float | None = None
     idle_us: int = 0
     exited: bool = False
@@ -129,4 +132,5 @@
     """Return the state of a server that starts."""
     keys = KeyTable(plan.settings, most_bytes=plan.bounds.results)
     groups = {one.name: at for at, one in enumerate(plan.settings.tenants)}
-    return State(plan, keys, idle_us=plan.settings.idle_max_us, guard=guard, groups=groups)
+    figures = Figures([[0, 0, 0] for _ in plan.settings.classes])
+    return State(plan, keys, figures=figures, idle_us=plan.settings.idle_max_us, guard=guard, groups=groups)
--- a/sagetrestle/net/routing/turn.py
+++ b/sagetrestle/net/routing/turn.py
@@ -5,7 +5,7 @@
 from sagetrestle.interface import Event, Outcome, RunEnded
 from sagetrestle.net.routing.effects import AbandonCall, CommandRun, Effect, SendAnswer, WriteLog
 from sagetrestle.net.routing.state import Command, Entry, Link, Phase, State
-from sagetrestle.net.routing.values import Answer, Failed, FailCause, Served
+from sagetrestle.net.routing.values import Answer, Failed, FailCause, Request, Served
 
 
 class Turn:
@@ -27,9 +27,14 @@
     def answer(self, entry: Entry, answer: Answer) -> None:
         """Give a request its answer, unless it has had one or nobody waits."""
         if entry.owed:
-            self.effects.append(SendAnswer(entry.request.ticket, answer, self.state.value))
+            self.final(entry.request, answer)
             self.release(entry)
 
+    def final(self, request: Request, answer: Answer) -> None:
+        """Give the final answer to a request; it is counted here and nowhere else."""
+        self.state.figures.count(request.cls, answer)
+        self.effects.append(SendAnswer(request.ticket, answer, self.state.value))
+
     def release(self, entry: Entry) -> None:
         """Owe a request nothing any more, and free its number on the connection."""
         entry.owed = False
--- a/sagetrestle/net/routing/values.py
+++ b/sagetrestle/net/routing/values.py
@@ -133,6 +133,22 @@
     MOOT = "moot"
 
 
+class OperatorCall(Enum):
+    """What the operators may ask of a process at its second address."""
+
+    READY = "whether it is ready to serve"
+    TELEMETRY = "the figures"
+    EVACUATE = "drain"
+    REJOIN = "back to work"
+
+
+class Reply(NamedTuple):
+    """The answer to an operators' call: an HTTP status and a text."""
+
+    status: int
+    text: str
+
+
 class CommandKind(Enum):
     """What the core asks the kernel to do with a run."""
 
@@ -151,6 +167,7 @@
     calls: int
     requests: int
     results: int  # bytes
+    management: int = 0  # callers of the second address
 
 
 @dataclass(frozen=True)
@@ -162,3 +179,4 @@
     bounds: Bounds
     gauges: tuple[str, ...] = ()
     seed: int = 0
+    managed: bool = False  # there is a second address
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -2,8 +2,9 @@
 
 A scenario is text, one step a line: ``ACTOR VERB ARGUMENTS`` or ``wait MILLISECONDS``. The actors are the
 peers of one whole scorer, whose sockets are in memory: ``thrift`` (front ends; ``thrift2`` is another one),
-``scgi`` (a connection for each request), ``kernel``, ``ledger``, and ``platform`` (``send TERM``, ``send HUP
-kernel=PORT``). Requests have short names; `key=K`, `body=B`, `retry=1`, `age=MS` and the like give the rest.
+``scgi`` (a connection for each request), ``kernel``, ``ledger``, ``platform`` (``send TERM``, ``send HUP
+kernel=PORT``) and ``operator`` (the second address). Requests have short names; `key=K`, `body=B`, `retry=1`,
+`age=MS` and the like give the rest.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import base64
 import json
 import unittest
+from dataclasses import replace
 from functools import cached_property
 from types import SimpleNamespace
 from typing import Any
@@ -385,10 +387,40 @@
             self.world.scorer.loop.post(IdentityRead(self.world.snapshots[name], "ring"))
 
 
+class OperatorPeer:
+    """Staff at the second address, with a connection for each call."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.wires = world, {}
+
+    def send(self, name: str, *words: str) -> None:
+        """Call ``METHOD PATH``, send bytes as they are (``raw TEXT``), or only connect (``nothing``)."""
+        wire = self.wires.get(name)
+        if wire is None:
+            wire = self.wires[name] = self.world.take_in(self.world.scorer.management)
+        if words[0] == "raw":
+            data = " ".join(words[1:]).encode().decode("unicode_escape").encode("latin-1")
+            wire.protocol.dataReceived(data)
+        elif words[0] != "nothing":
+            wire.protocol.dataReceived(f"{words[0]} {words[1]} HTTP/1.1\r\nHost: n1\r\n\r\n".encode())
+
+    def expect(self, name: str, status: str, *words: str) -> None:
+        """Expect a status and lines of the text, ``nothing``, or ``closed`` without an answer."""
+        wire, test = self.wires[name], self.world.test
+        data = wire.take().decode()
+        if status in ("nothing", "closed"):
+            test.assertEqual(("", status == "nothing"), (data, wire.connected))
+            return
+        test.assertTrue(data.startswith(f"HTTP/1.1 {status} "), f"{data!r} {self.world.lines}")
+        for word in words:
+            test.assertIn(word.replace("_", " "), data)
+
+
 class World:
     """One scorer in memory, and its peers."""
 
-    def __init__(self, test: unittest.TestCase, stop_ms: int = 3_200, identity: Any = None) -> None:
+    def __init__(self, test: unittest.TestCase, stop_ms: int = 3_200, identity: Any = None,
+                 managed: bool = False) -> None:
         self.test, self.reactor = test, MemoryReactorClock()
         self.tokens: dict[str, str] = {}
         self.snapshots: dict[str, Any] = {}
@@ -398,7 +430,8 @@
         self.names: dict[str | None, str] = {}
         read = lambda: int(self.reactor.seconds() * 1e9)  # noqa: E731
         clock = Clock(lambda: read() + 1_000_000_000, lambda: read() + UNIX_MS * 1_000_000)
-        given = config(ScgiConfig(("127.0.0.1", 0)), plan=plan(stop_ms), identity=identity)
+        given = config(ScgiConfig(("127.0.0.1", 0)), plan=replace(plan(stop_ms), managed=managed), identity=identity,
+                       management=("127.0.0.1", 0) if managed else None)
         logger = SimpleNamespace(info=self.lines.append)
         self.moved: Config | None = None
         self.scorer = program.Scorer(self.reactor, given, logger, clock, self._reread)
@@ -413,6 +446,7 @@
             front.port = None  # the reactor's stand-in for a listening socket has nothing to accept
         self.actors: dict[str, Any] = {"platform": Platform(self), "ledger": LedgerPeer(self)}
         self.actors["operators"] = Operators(self)
+        self.actors["operator"] = OperatorPeer(self)
         self.actors["kernel"] = self.kernel = KernelPeer(self)
         self.actors |= {"thrift": ThriftPeer(self), "thrift2": ThriftPeer(self), "scgi": ScgiPeer(self)}
         self.settle()
@@ -428,7 +462,11 @@
 
     def connect(self, front: str) -> Wire:
         """Connect to a front; one that does not take the connection closes it."""
-        protocol = self.scorer.fronts[front].buildProtocol(None)
+        return self.take_in(self.scorer.fronts[front])
+
+    def take_in(self, factory: Any) -> Wire:
+        """Connect to what a factory makes of a connection."""
+        protocol = factory.buildProtocol(None)
         wire = Wire(protocol or Protocol())
         wire.connected = protocol is not None
         return wire
@@ -470,8 +508,9 @@
 
     stop_ms = 3_200
     identity: Any = None
+    managed = False
 
     def setUp(self) -> None:
         """Start the scorer."""
-        self.world = World(self, self.stop_ms, self.identity)
+        self.world = World(self, self.stop_ms, self.identity, self.managed)
         self.play = self.world.play
