--- a/sagetrestle/interface.py
+++ b/sagetrestle/interface.py
@@ -192,6 +192,13 @@
     stop_at: int
 
 
+class Beside(NamedTuple):
+    """Another process of this server, which finishes its work, holds this much of what both share."""
+
+    memory_kb: float = 0.0
+    running: int = 0  # on the cores
+
+
 @dataclass(frozen=True)
 class Gauges:
     """What the server measures of itself; None where it does not."""
@@ -299,6 +306,6 @@
     text: str
 
 
-Event = Union[Arrived, Gone, RunEnded, AtCall, CallEnded, Drain, Woke]
+Event = Union[Arrived, Gone, RunEnded, AtCall, CallEnded, Drain, Beside, Woke]
 Action = Union[Run, Stop, Refuse, Fail, Call, Skip, Keep, Forget, Reuse, Health, Say, IdleLimit, Wake, Log]
 
--- a/sagetrestle/lab/place.py
+++ b/sagetrestle/lab/place.py
@@ -72,15 +72,18 @@
 
 
 def write_files(folder: Path, name: str, settings: Mapping[str, Any], ports: Mapping[str, int],
-                deploy: Mapping[str, str], limits: Mapping[str, float] | None = None) -> dict[str, Any]:
+                deploy: Mapping[str, str], limits: Mapping[str, float] | None = None,
+                file: str = "config.json", over: Mapping[str, Any] | None = None) -> dict[str, Any]:
     """Write what a scorer starts from into a folder, and return what its configuration says.
 
-    ``ports`` names those of kernel, ledger and roster on loopback; ``deploy`` the operators' files by name.
+    ``ports`` names those of kernel, ledger and roster on loopback; ``deploy`` the operators' files by name; ``over``
+    is what the configuration says besides or instead.
     """
     told = {"name": name, "listen": f"{HERE}:0", "seed": "7", "stop_ms": 3000, "settings": dict(settings),
             "limits": dict(limits or {"cores": 1.0, "memory_mb": 64, "sockets": 384})}
     told |= {peer: f"{HERE}:{port}" for peer, port in ports.items()}
-    (folder / "config.json").write_text(json.dumps(told))
+    told |= over or {}
+    (folder / file).write_text(json.dumps(told))
     (folder / "deploy").mkdir(exist_ok=True)
     for file, text in deploy.items():
         (folder / "deploy" / file).write_text(text)
--- a/sagetrestle/lab/scorer.py
+++ b/sagetrestle/lab/scorer.py
@@ -6,6 +6,7 @@
 import os
 import re
 import signal
+import socket
 import sys
 from collections.abc import Mapping
 from pathlib import Path
@@ -23,8 +24,10 @@
     """One scorer with its kernel, ledger and roster. ``ports`` has what it listens on, by front."""
 
     def __init__(self, folder: Path, kernel: EmulatedKernel, settings: Mapping[str, Any],
-                 deploy: Mapping[str, str], name: str = "n1", root: Path = ROOT) -> None:
+                 deploy: Mapping[str, str], name: str = "n1", root: Path = ROOT,
+                 over: Mapping[str, Any] | None = None, limits: Mapping[str, float] | None = None) -> None:
         self.folder, self.kernel, self.name, self._root = folder, kernel, name, root
+        self._over, self._limits = dict(over or {}), limits
         self._settings, self._deploy = settings, deploy
         self.ledger = EmulatedLedger()
         self.log: list[str] = []
@@ -32,8 +35,8 @@
         self.told: dict[str, Any] = {}
         self._servers: list[Any] = []
 
-    async def start(self, fronts: int) -> ScorerProcess:
-        """Start it, and wait until it listens on so many fronts and its kernel is up."""
+    async def start(self, fronts: int, ready: str = "kernel up") -> ScorerProcess:
+        """Start it, and wait until it listens on so many fronts and has logged that it is ready."""
         ports = {}
         for peer, serve in (("kernel", self.kernel.serve), ("ledger", self.ledger.serve)):
             server, ports[peer] = await listen(serve)
@@ -42,12 +45,32 @@
         udp, self.roster = await loop.create_datagram_endpoint(Datagrams, local_addr=(HERE, 0))
         self._servers.append(udp)
         ports["roster"] = udp.get_extra_info("sockname")[1]
-        self.told = write_files(self.folder, self.name, self._settings, ports, self._deploy)
-        env = {**os.environ, "PYTHONPATH": str(self._root), "ROUTER_CONFIG": f"{self.folder}/config.json"}
+        if "management" in self._over:  # one that may be upgraded listens where its successor can as well
+            with socket.socket() as free:
+                free.bind((HERE, 0))
+                self._over.setdefault("listen", f"{HERE}:{free.getsockname()[1]}")
+        return await self._spawn(ports, "config.json", fronts, ready)
+
+    async def upgrade(self, kernel: EmulatedKernel, number: int, ready: str, fronts: int = 1) -> ScorerProcess:
+        """Start a newer process of this scorer beside this one, on a kernel address of its own."""
+        host, port = self.told["listen"].rpartition(":")[0], self.ports["thrift"]
+        newer = ScorerProcess(self.folder, kernel, self._settings, self._deploy, self.name, self._root,
+                              {**self._over, "listen": f"{host}:{port}"}, self._limits)
+        newer.ledger, newer.roster, newer.ports = self.ledger, self.roster, {"thrift": port}
+        server, kernel_port = await listen(kernel.serve)
+        newer._servers.append(server)
+        ports = {peer: int(self.told[peer].rpartition(":")[2]) for peer in ("ledger", "roster")}
+        return await newer._spawn({**ports, "kernel": kernel_port}, f"config{number}.json", fronts, ready)
+
+    async def _spawn(self, ports: Mapping[str, int], file: str, fronts: int, ready: str) -> ScorerProcess:
+        self.told = write_files(self.folder, self.name, self._settings, ports, self._deploy, self._limits,
+                                file, self._over)
+        env = {**os.environ, "PYTHONPATH": str(self._root), "ROUTER_CONFIG": f"{self.folder}/{file}",
+               "TMPDIR": str(self.folder)}
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-B", "-m", "sagetrestle", cwd=self.folder, env=env,
             stderr=asyncio.subprocess.PIPE)
-        while len(self.ports) < fronts or not self.log_has("kernel up"):
+        while len(self.ports) < fronts or not self.log_has(ready):
             if not await self._read_line():
                 raise RuntimeError(f"the scorer ended: {self.log}")
         self._reading = asyncio.create_task(self._read_on())
@@ -81,11 +104,20 @@
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    def descriptors(self) -> int:
+        """Return how many descriptors the process holds."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
     def memory_kb(self) -> int:
         """Return the resident memory of the process, in KiB."""
         text = Path(f"/proc/{self.process.pid}/status").read_text()
         return int(re.search(r"VmRSS:\s+(\d+)", text)[1])  # type: ignore[index]
 
+    def share_kb(self) -> int:
+        """Return the process's share of resident memory, in KiB: what several share counts once over all."""
+        text = Path(f"/proc/{self.process.pid}/smaps_rollup").read_text()
+        return int(re.search(r"Pss:\s+(\d+)", text)[1])  # type: ignore[index]
+
     async def stop(self, notice: signal.Signals = signal.SIGTERM) -> int:
         """Give the notice to leave, or kill it outright, and return the exit code."""
         if self.process.returncode is None:
--- a/sagetrestle/logic.py
+++ b/sagetrestle/logic.py
@@ -11,9 +11,9 @@
 from collections import deque
 
 from sagetrestle.interface import (
-    NEVER_RAN, Action, Arrived, AtCall, Below, Call, CallEnded, Drain, Effect, Event, Fail, Forget, FreeValue,
-    Gauges, Gone, Health, IdleLimit, Keep, Log, Outcome, Refuse, Reuse, Run, RunEnded, Say, Settings, Skip,
-    Stop, Stopping, Wake, Woke,
+    NEVER_RAN, Action, Arrived, AtCall, Below, Beside, Call, CallEnded, Drain, Effect, Event, Fail, Forget,
+    FreeValue, Gauges, Gone, Health, IdleLimit, Keep, Log, Outcome, Refuse, Reuse, Run, RunEnded, Say,
+    Settings, Skip, Stop, Stopping, Wake, Woke,
 )
 
 # Tuned numbers: shares and multiples unless a unit is named; what they are scaled by is observed or set.
@@ -139,10 +139,11 @@
         self.said: float | None = None
         self.idle, self.table = float(settings.idle_max_us), 0.0
         self.drain_at = self.last_answer = self.wake_at = self.token = 0
+        self.beside = Beside()
         self.pausable = settings.stopping is Stopping.PAUSE
         self.handlers = {Arrived: self._arrived, Gone: self._gone, RunEnded: self._run_ended,
                          AtCall: self._at_call, CallEnded: self._call_ended, Drain: self._drain,
-                         Woke: self._woke}
+                         Beside: self._shared, Woke: self._woke}
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take what happened at ``now`` and return what to do, in order."""
@@ -253,7 +254,7 @@
         if self.set.cold and self.set.warm_within_us:
             warm = min(1.0, self.set.cold_share
                        + (1.0 - self.set.cold_share) * (self.now - self.born) / self.set.warm_within_us)
-        return (1.0 + (self.set.crowd_multiple - 1.0) * warm) * self.set.cores
+        return (1.0 + (self.set.crowd_multiple - 1.0) * warm) * self.set.cores - self.beside.running
 
     def _run_limit(self) -> float:
         """Return the run limit: climbed, at least the cores, under the crowd survived."""
@@ -404,6 +405,15 @@
         work.due = min(work.due, self.last_answer)
         work.target = min(work.target, work.due)
 
+    def _shared(self, event: Beside) -> None:
+        """Leave room for another process of this server: together both must stay under what it bears."""
+        self.memory += event.memory_kb - self.beside.memory_kb
+        self.beside = event
+
+    def load(self) -> Beside:
+        """Return what this process holds of what it may share with another."""
+        return Beside(self.memory - self.beside.memory_kb, len(self.on_cores))
+
     def _woke(self, event: Woke) -> None:
         """Take the gauges; the timer has done its part by waking the server."""
         self.gauges = event.gauges
--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -51,6 +51,7 @@
     limits: Limits = LEAST
     discovery: DiscoveryConfig | None = None
     management: Address | None = None  # the second address
+    shared: Path | None = None  # the folder that two processes of this scorer share
 
 
 # What a reload leaves as it is, by the names that the files have for it.
@@ -134,7 +135,8 @@
     peers = Peers(_address(told, "kernel"), _address(told, "ledger"), _address(told, "roster"))
     scgi = read_scgi(scgi_file, name)
     return Config(name, _address(told, "listen"), peers, _plan(told, scgi, management is not None), scgi,
-                  limits=_limits(told), management=management)
+                  limits=_limits(told), management=management,
+                  shared=Path(env["TMPDIR"]) if management and env.get("TMPDIR") else None)
 
 
 def read_scgi(path: Path, name: str) -> ScgiConfig | None:
--- /dev/null
+++ b/sagetrestle/net/program/handover.py
@@ -0,0 +1,155 @@
+"""The shared folder and the sockets of an upgrade: finding an elder, passing listening sockets, taking them over."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import socket
+import stat
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+from zlib import crc32
+
+from twisted.internet.error import CannotListenError
+
+from sagetrestle.handover import elder, messages, successor
+from sagetrestle.net.transport.connection import Front
+from sagetrestle.net.transport.ends import Post
+from sagetrestle.net.transport.handover import ElderLink, HeirFactory
+
+
+class Handover:
+    """One process's ends of the streams to an elder and from successors.
+
+    Each process has a socket of its own in the shared folder, so that none ever removes another's: those of dead
+    processes refuse, and are cleared away by whoever finds them.
+    """
+
+    def __init__(self, reactor: Any, post: Post, folder: Path | None, name: str, log: Callable[[str], None],
+                 tls: Callable[[], Any]) -> None:
+        self._reactor, self._folder, self._log, self._tls = reactor, folder, log, tls
+        self._prefix = f"sagetrestle-{crc32(name.encode()):08x}-"
+        self._elder, self._heirs = ElderLink(reactor, post), HeirFactory(post)
+        self._port: Any = None
+        self._fronts: Mapping[str, Front[Any]] = {}
+        self._told = False
+
+    def found(self) -> int:
+        """Return how many sockets there are that may be an elder's."""
+        return len(self._paths())
+
+    def _paths(self) -> list[str]:
+        """Return them, the newest first, without one's own; what is no socket, or another user's, is none of ours."""
+        found = []
+        own = f"{self._prefix}{os.getpid()}"
+        try:
+            for path in self._folder.glob(f"{self._prefix}*") if self._folder else ():
+                if path.name == own:
+                    continue
+                about = path.lstat()
+                if stat.S_ISSOCK(about.st_mode) and about.st_uid == os.geteuid():
+                    found.append((about.st_ctime_ns, str(path)))
+                else:
+                    self._once(f"{path.name} is not a socket of this user")
+        except OSError as error:
+            self._once(str(error))
+        return [path for _, path in sorted(found, reverse=True)]
+
+    def _once(self, why: str) -> None:
+        if not self._told:
+            self._told = True
+            self._log(f"upgrades may leave a gap: {why}")
+
+    def perform(self, what: elder.Decision | successor.Decision) -> None:
+        """Carry out what the state machines decided about the streams."""
+        match what:
+            case successor.Dial():
+                self._elder.dial(self._paths(), self._clear)
+            case successor.HangUp():
+                self._elder.hang_up()
+            case successor.Say(message):
+                self._elder.say(message)
+            case elder.Say(link, messages.Yours() as token):
+                self._pass(link, token)
+            case elder.Say(link, message):
+                if link in self._heirs.streams:
+                    self._heirs.streams[link].say(message)
+            case elder.HangUp(link):
+                if link in self._heirs.streams:
+                    self._heirs.streams[link].transport.loseConnection()
+
+    def _clear(self, path: str) -> None:
+        with contextlib.suppress(OSError):  # another successor cleared it away
+            os.unlink(path)
+
+    def _pass(self, link: int, token: messages.Yours) -> None:
+        """Say the token, with the listening sockets of the fronts that are open."""
+        if link not in self._heirs.streams:
+            return
+        ports = {name: self._fronts[name].port for name in token.fronts if name in self._fronts}
+        names = tuple(name for name, port in ports.items() if port is not None)
+        self._heirs.streams[link].say(token._replace(fronts=names), [ports[name].fileno() for name in names])
+
+    def open(self) -> None:
+        """Be found by a successor; where that can not be, say so once and serve."""
+        if self._folder is None:
+            self._once("TMPDIR is not set")
+        elif self._port is None:
+            path = str(self._folder / f"{self._prefix}{os.getpid()}")
+            try:
+                if os.path.lexists(path):  # a dead process had this number
+                    os.unlink(path)
+                self._port = self._reactor.listenUNIX(path, self._heirs, mode=0o600)
+            except (CannotListenError, OSError) as error:
+                self._once(str(error))
+
+    def close(self) -> None:
+        """Be found no more."""
+        if self._port is not None:
+            with contextlib.suppress(OSError):  # the folder, or the socket in it, is gone
+                self._port.stopListening()
+            self._port = None
+
+    def adopt(self, names: tuple[str, ...], fronts: Mapping[str, Front[Any]]) -> None:
+        """Listen at the sockets that the elder passed."""
+        self._fronts = fronts
+        for name, fd in zip(names, self._elder.sockets(), strict=False):
+            front = fronts.get(name)
+            if front is not None:
+                port = self._adopted(front, fd)
+                if front.port is None:
+                    front.port = port
+                else:
+                    front.more_ports.append(port)
+            os.close(fd)
+
+    def listen(self, front: Front[Any], host: str, port: int, backlog: int) -> Any:
+        """Take a socket of one's own that a second process may have beside it. Raises CannotListenError."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        taken = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            taken.bind((host, port))
+            taken.listen(backlog)
+            return self._adopted(front, taken.fileno())
+        except OSError as error:
+            raise CannotListenError(host, port, error) from None
+        finally:
+            taken.close()
+
+    def _adopted(self, front: Front[Any], fd: int) -> Any:
+        """Have a front accept at a listening socket, of which Twisted takes a copy.
+
+        Twisted ends a socket of its own making with ``shutdown``, which would end it for the other process as
+        well; one that it adopted is only closed.
+        """
+        os.set_blocking(fd, False)
+        family = socket.socket(fileno=os.dup(fd))
+        kind = family.family
+        family.close()
+        if front.kind == "scgis":
+            from twisted.protocols.tls import TLSMemoryBIOFactory
+            return self._reactor.adoptStreamPort(fd, kind, TLSMemoryBIOFactory(self._tls(), False, front))
+        return self._reactor.adoptStreamPort(fd, kind, front)
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -34,11 +34,12 @@
 
 if TYPE_CHECKING:
     from sagetrestle.net.program.discovery import DiscoveryConfig
+    from sagetrestle.net.program.handover import Handover
     from sagetrestle.net.program.identity import IdentityConfig
     from sagetrestle.net.transport.credentials import CredentialReader
     from sagetrestle.net.transport.management import ManagementFront
 
-BACKLOG, MANAGEMENT_BACKLOG = 512, 128
+BACKLOG = 512
 COLLECT = (5_000, 10, 10)  # almost nothing here is part of a cycle: looking for them seldom is enough
 EXIT_AFTER_S = 0.03  # for the last answers to leave their sockets
 SCGI_FILE, IDENTITY_FILE = Path("deploy/scgi.toml"), Path("deploy/identity.toml")
@@ -64,6 +65,7 @@
         self.roster = Roster(config.name)
         self.dns: DnsResponder | None = None
         self.management: ManagementFront | None = None
+        self.handover: Handover | None = None
         self.exit_code = 0
         self._tls: Any = None
         self._watch: Any = None
@@ -71,12 +73,24 @@
         if config.management:
             from sagetrestle.net.transport.management import ManagementFront
             self.management = ManagementFront(reactor, post, bounds.management)
+            self._add_handover(reactor, post)
         credentials = None
         if config.identity:
             credentials = self._add_identity(config.identity, post)
         if config.scgi:
             self._add_scgi("scgi", config.scgi.held_kb, post, credentials)
 
+    def _add_handover(self, reactor: Any, post: Post) -> None:
+        """Set up what upgrades need; it is loaded only here."""
+        from sagetrestle.net.program.handover import Handover
+        from sagetrestle.net.routing.handover import HANDLERS, Pair
+        from sagetrestle.net.routing.reducer import HANDLERS as ALL
+        ALL.update(HANDLERS)
+        host, port = self.config.listen
+        self.loop.state.pair = Pair(self.config.plan, self.config.name, f"{host}:{port}")
+        self.handover = Handover(reactor, post, self.config.shared, self.config.name, self._log.line,
+                                 lambda: self._tls and self._tls.context)
+
     def _add_scgi(self, kind: str, held_kb: float, post: Post, credentials: Any) -> None:
         plan = self.config.plan
         self.fronts[kind] = ScgiFront(
@@ -106,7 +120,7 @@
         """Begin with the first turn."""
         signals.on_stop(self.reactor, lambda: self.loop.post(StopAsked()))
         signals.on_reload(self.reactor, self.reload)
-        self.loop.post(Started(self.config.peers))
+        self.loop.post(Started(self.config.peers, self.handover.found() if self.handover else 0))
 
     def reload(self) -> None:
         """Read the configuration again, whole; what can not be used leaves the old one in force."""
@@ -157,11 +171,17 @@
                 self.roster.use(address)
             case fx.OpenKernel(serial):
                 self.kernel.open(serial)
-            case fx.Listen():
-                self._listen()
-            case fx.StopListening():
+            case fx.Listen(passed):
+                self._listen(passed)
+            case fx.ListenToOperators():
+                self._listen_to_operators()
+            case fx.Room(kind, most):
+                self.fronts[kind].most = most
+            case fx.ToOther(what):
+                self.handover.perform(what)
+            case fx.StopListening(shared):
                 for front in self.fronts.values():
-                    front.stop_listening()
+                    front.stop_listening(shared)
             case fx.Announce(on):
                 self._announce(on)
             case fx.Exit():
@@ -172,15 +192,31 @@
         if connection:
             act(connection)
 
-    def _listen(self) -> None:
-        """Open the fronts; a scorer that can not listen is of no use and ends."""
+    def _listen_to_operators(self) -> None:
+        try:
+            self._listens("management", *self.management.listen(self.config.management))
+        except CannotListenError as error:
+            self._give_up(error)
+
+    def _give_up(self, error: CannotListenError) -> None:
+        self._log.line(f"can not listen: {error}")
+        self.exit_code = 1
+        self.reactor.stop()
+
+    def _listen(self, passed: tuple[str, ...]) -> None:
+        """Open the fronts; a scorer that can not listen is of no use and ends.
+
+        Where sockets were passed, those of its own that it took meanwhile stay open beside them.
+        """
+        if self.handover:
+            again = self.thrift.port is not None
+            self.handover.adopt(passed, self.fronts)
+            self.handover.open()
+            if again:
+                return
         host, port = self.config.listen
         try:
             self.roster.listen(self.reactor, host)
-            if self.management:
-                at, number = self.config.management
-                self.management.port = self.reactor.listenTCP(number, self.management, MANAGEMENT_BACKLOG, at)
-                self._listens("management", at, self.management.port.getHost().port)
             thrift_port = self._open(self.thrift, host, port)
             if self.config.scgi:
                 self._listen_scgi(self.config.scgi)
@@ -191,9 +227,7 @@
             if self.config.discovery and self.config.discovery.file.publish:
                 self._publish(self.config.discovery, host, thrift_port)
         except CannotListenError as error:
-            self._log.line(f"can not listen: {error}")
-            self.exit_code = 1
-            self.reactor.stop()
+            self._give_up(error)
 
     def _listen_scgi(self, scgi: ScgiConfig) -> None:
         """Open the second front, and the responder that names the port it has."""
@@ -208,7 +242,9 @@
 
     def _open(self, front: Front[Any], host: str, port: int) -> int:
         """Take a front's listening socket and return its port, which the machine chose if it was 0."""
-        if front.kind == "scgis":
+        if self.handover:
+            front.port = front.port or self.handover.listen(front, host, port, BACKLOG)
+        elif front.kind == "scgis":
             front.port = self.reactor.listenSSL(port, front, self._tls.context, BACKLOG, host)
         else:
             front.port = self.reactor.listenTCP(port, front, backlog=BACKLOG, interface=host)
@@ -242,6 +278,8 @@
             front.stop_listening()
             for connection in list(front.connections.values()):
                 connection.close()
+        if self.handover:
+            self.handover.close()
         self.reactor.callLater(EXIT_AFTER_S, self.reactor.stop)
 
     def _failed(self, text: str) -> None:
--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -31,16 +31,23 @@
         entry.phase = Phase.RUNNING
         turn.command(entry, CommandRun(CommandKind.RESUME, action.id))
     elif entry.phase is Phase.HELD and not turn.state.keys.may_start(entry.request):
+        if turn.state.pair is not None and turn.state.pair.join(turn, entry):
+            return
         # Guards against a second effect whatever the module makes of the tries: the window binds the program.
         turn.log(f"request {action.id} not run: a try of it ran within the window")
         turn.reuse(entry, None)
-    elif entry.phase is Phase.HELD:
-        entry.phase, entry.ran = Phase.RUNNING, True
-        turn.state.keys.started(entry.request)
-        access.started(turn, entry)
-        turn.state.figures.attempts += 1
-        name = turn.state.plan.settings.classes[entry.request.cls].name
-        turn.command(entry, CommandRun(CommandKind.START, action.id, name, entry.request.body))
+    elif entry.phase is Phase.HELD and (turn.state.pair is None or turn.state.pair.may_start(turn, entry)):
+        start(turn, entry)
+
+
+def start(turn: Turn, entry: Entry) -> None:
+    """Have the kernel run a request."""
+    entry.phase, entry.ran = Phase.RUNNING, True
+    turn.state.keys.started(entry.request)
+    access.started(turn, entry)
+    turn.state.figures.attempts += 1
+    name = turn.state.plan.settings.classes[entry.request.cls].name
+    turn.command(entry, CommandRun(CommandKind.START, entry.request.id, name, entry.request.body))
 
 
 def _stop(turn: Turn, entry: Entry, action: face.Stop) -> None:
@@ -48,6 +55,9 @@
     if entry.phase is Phase.RUNNING:
         entry.pausing = True
         turn.command(entry, CommandRun(CommandKind.PAUSE, action.id))
+    elif entry.phase is Phase.CLAIMING:  # not begun: it is paused as it stands
+        entry.phase = Phase.HELD
+        turn.events.append(RunEnded(action.id, Outcome.CANCELLED))
 
 
 def _refuse(turn: Turn, entry: Entry, action: face.Refuse) -> None:
@@ -96,6 +106,10 @@
         entry.phase = Phase.JOINED
         earlier.joined.append(action.id)
         return
+    pair = turn.state.pair
+    if pair is not None and pair.claims.wait(entry.repeats or "", action.id):  # it runs at another process
+        entry.phase = Phase.JOINED
+        return
     kept = turn.state.keys.result(entry.repeats or "")
     turn.reuse(entry, kept.result if kept else None)
 
--- a/sagetrestle/net/routing/chores.py
+++ b/sagetrestle/net/routing/chores.py
@@ -8,7 +8,7 @@
 from sagetrestle.interface import Drain, Gone
 from sagetrestle.net.routing import access, fronts, health, inputs, runs
 from sagetrestle.net.routing.effects import (
-    AskGauges, AskToLeave, CloseConnection, Exit, Listen, StopListening, UseLedger, UseRoster,
+    AskGauges, AskToLeave, CloseConnection, Exit, Listen, ListenToOperators, StopListening, UseLedger, UseRoster,
 )
 from sagetrestle.net.routing.state import Drain as DrainState
 from sagetrestle.net.routing.state import Link
@@ -30,7 +30,14 @@
 def started(turn: Turn, item: inputs.Started) -> None:
     """Open the fronts, report, and reach for the kernel."""
     turn.state.peers = item.peers
-    turn.effects += [Listen(), UseLedger(item.peers.ledger), UseRoster(item.peers.roster)]
+    if turn.state.plan.managed:
+        turn.effects.append(ListenToOperators())
+    if turn.state.pair is not None:
+        turn.state.pair.began(turn, item.elders)
+    else:
+        turn.state.listening = True
+        turn.effects.append(Listen())
+    turn.effects += [UseLedger(item.peers.ledger), UseRoster(item.peers.roster)]
     runs.connect(turn)
     turn.state.chores.update(report=turn.now, gauges=turn.now, overdue=turn.now, idle=turn.now)
     if turn.state.guard is not None:
@@ -61,6 +68,14 @@
 def stop_asked(turn: Turn, _: inputs.StopAsked) -> None:
     """Begin to leave: off the roster at once; the module answers what is in hand."""
     state = turn.state
+    if state.pair is not None and not state.pair.notice(turn):
+        return
+    drain(turn)
+
+
+def drain(turn: Turn) -> None:
+    """Leave as there is no other process in one's place."""
+    state = turn.state
     if state.drain:
         return
     grace = min(state.plan.settings.drain_grace_us, int(state.plan.stop_us * CLOSE_SHARE))
@@ -116,19 +131,20 @@
     What never sent a valid request is closed without asking, but only in the second look: after a standstill
     of this process its first request may wait unread.
     """
-    fronts = Counter(name.front for name in turn.state.connections)
-    rooms = turn.state.plan.bounds.connections
+    fronts_held = Counter(name.front for name in turn.state.connections)
+    rooms = {name: fronts.room(turn.state, name) for name in fronts_held}
+    unproven_us = LEAVING_US if turn.state.drain else 0  # on the way out nobody was asked before
     for name, one in turn.state.connections.items():
         if one.open:
             continue
-        crowded = fronts[name.front] > CROWDED_SHARE * rooms[name.front]
+        crowded = fronts_held[name.front] > CROWDED_SHARE * rooms[name.front]
         longest = min(turn.state.idle_us, CROWDED_IDLE_US) if crowded else turn.state.idle_us
         longest = longest if one.proven else SILENT_US
         if one.leaving_at is None and turn.now - one.used_at >= longest:
             one.leaving_at = turn.now
             if one.proven:
                 turn.effects.append(AskToLeave(name))
-        elif one.leaving_at is not None and turn.now - one.leaving_at >= (LEAVING_US if one.proven else 0):
+        elif one.leaving_at is not None and turn.now - one.leaving_at >= (LEAVING_US if one.proven else unproven_us):
             turn.effects.append(CloseConnection(name))
     turn.state.keys.sweep(turn.now)
     turn.state.chores["idle"] = turn.now + IDLE_EVERY_US
@@ -149,12 +165,18 @@
             one.leaving_at = turn.now
             turn.effects.append(AskToLeave(name))
     owed = state.unverified or any(entry.owed for entry in state.entries.values())
+    owed = owed or state.pair is not None and state.pair.busy(state)
     if turn.now >= drain.exit_at or not (state.connections or owed):
         _exit(turn)
     else:
         state.chores["drain"] = min(drain.exit_at, turn.now + DRAIN_EVERY_US)
 
 
+def _load(turn: Turn) -> None:
+    assert turn.state.pair is not None
+    turn.state.pair.load(turn)
+
+
 def _exit(turn: Turn) -> None:
     """End the process; whatever is still owed an answer fails now."""
     for entry in list(turn.state.entries.values()):
@@ -167,7 +189,8 @@
 
 CHORES: dict[str, Callable[[Turn], None]] = {
     "kernel": _connect, "report": _report, "gauges": _ask_gauges, "overdue": _answer_overdue,
-    "idle": _close_idle, "drain": _drain, "verify": fronts.verify, "keys": access.tick,
+    "idle": _close_idle, "drain": _drain, "load": _load,
+    "verify": fronts.verify, "keys": access.tick,
 }
 
 
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -2,17 +2,41 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, Union
+from typing import TYPE_CHECKING, NamedTuple, Union
 
 from sagetrestle.net.routing.values import Address, Answer, CommandKind, ConnectionId, Reply, Ticket
 
+if TYPE_CHECKING:  # what is off is not loaded
+    from sagetrestle.handover import elder, successor
+
 
 class Listen(NamedTuple):
-    """Open the fronts."""
+    """Open the fronts; those named, at the sockets that the older process passed."""
+
+    passed: tuple[str, ...] = ()
+
+
+class ListenToOperators(NamedTuple):
+    """Open the second address."""
 
 
 class StopListening(NamedTuple):
-    """Take no new connections."""
+    """Take no new connections; what waits at sockets that are shared is left to the other process."""
+
+    shared: bool = False
+
+
+class Room(NamedTuple):
+    """Hold no more connections of a front than this."""
+
+    front: str
+    most: int
+
+
+class ToOther(NamedTuple):
+    """Deal with another process of this server, as its state machine decided."""
+
+    what: elder.Decision | successor.Decision
 
 
 class SendAnswer(NamedTuple):
@@ -135,7 +159,8 @@
 
 
 Effect = Union[
-    Listen, StopListening, SendAnswer, SendHealth, AnswerOperator, AskToLeave, CloseConnection, Doubt, ConnectKernel,
+    Listen, ListenToOperators, StopListening, Room, ToOther, SendAnswer, SendHealth,
+    AnswerOperator, AskToLeave, CloseConnection, Doubt, ConnectKernel,
     OpenKernel, UseLedger, UseRoster, CommandRun, AskGauges, PostCall, AbandonCall, Report, Announce,
     WriteLog, Exit,
 ]
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -6,7 +6,7 @@
 from sagetrestle.interface import Arrived, Gone
 from sagetrestle.net.routing import access, health, inputs
 from sagetrestle.net.routing.effects import AskToLeave, CloseConnection, Doubt, SendHealth
-from sagetrestle.net.routing.state import Connection, Entry
+from sagetrestle.net.routing.state import Connection, Entry, State
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import (
     Answer, ConnectionEnd, ConnectionId, Failed, FailCause, Refused, Request, Ticket,
@@ -24,11 +24,17 @@
     """Take a connection in; in a full front one on which nothing is open makes room for it."""
     connections, front = turn.state.connections, item.connection.front
     count = sum(name.front == front for name in connections)
-    if count >= FULL_SHARE * turn.state.plan.bounds.connections[front]:
+    if count >= FULL_SHARE * room(turn.state, front):
         _make_room(turn, front)
     connections[item.connection] = Connection(used_at=turn.now)
 
 
+def room(state: State, front: str) -> int:
+    """Return how many connections a front may hold now."""
+    most = state.plan.bounds.connections[front]
+    return most if state.pair is None else state.pair.room(most)
+
+
 def _make_room(turn: Turn, front: str) -> None:
     """Have what never sent a valid request go, the oldest first, or else what was used longest ago.
 
@@ -134,6 +140,9 @@
         _doubtful(turn, request, "its key came before with another body", Failed(FailCause.CONFLICT))
         return
     connection.proven = True
+    if _may_have_run(turn, request):
+        turn.final(request, Failed())
+        return
     reserved = False
     if verdict is not None:
         may, reserved = access.admit(turn, request, verdict)
@@ -142,6 +151,14 @@
     _take(turn, connection, request, verdict, reserved)
 
 
+def _may_have_run(turn: Turn, request: Request) -> bool:
+    """Tell whether a keyed request may have run at another process that can not be asked."""
+    pair, keys = turn.state.pair, turn.state.keys
+    key = keys.key_of(request) if pair is not None else None
+    return (key is not None and key[0] == "keyed" and not pair.may_run(request)
+            and not keys.ran_before(request))
+
+
 def _take(turn: Turn, connection: Connection, request: Request, verdict: Verdict | None,
           reserved: bool) -> None:
     """Tie a request to the try it repeats, and tell the module."""
--- a/sagetrestle/net/routing/health.py
+++ b/sagetrestle/net/routing/health.py
@@ -17,6 +17,10 @@
     UNWELL = "off for a time: its cores are slow"
     EVACUATED = "evacuated"
     LEAVING = "leaving"
+    HANDED_OVER = "a newer process serves"
+
+
+SILENT = (Standing.STARTING, Standing.HANDED_OVER)
 
 
 def standing(state: State) -> Standing:
@@ -24,11 +28,13 @@
 
     Start-up counts only where there is a second address: without one a health check is answered as ever.
     """
+    if state.pair is not None and state.pair.handed_over():
+        return Standing.HANDED_OVER
     if state.drain is not None:
         return Standing.LEAVING
     if state.evacuated:
         return Standing.EVACUATED
-    if state.plan.managed and state.policy is None:
+    if state.plan.managed and (state.policy is None or not state.listening):
         return Standing.STARTING
     return Standing.READY if state.healthy else Standing.UNWELL
 
@@ -39,13 +45,14 @@
 
 
 def report(turn: Turn) -> None:
-    """Tell the roster how this process stands; one that is starting has no place on the list to lose."""
+    """Tell the roster how this process stands, unless it would speak for another that has the place on the list."""
     now = standing(turn.state)
-    if now is not Standing.STARTING:
+    if now not in SILENT:
         turn.effects.append(Report(now is Standing.READY))
 
 
 def changed(turn: Turn) -> None:
     """Tell the roster at once, and announce or withdraw the fronts' service records."""
     report(turn)
-    turn.effects.append(Announce(good(turn.state)))
+    if standing(turn.state) not in SILENT:
+        turn.effects.append(Announce(good(turn.state)))
--- a/sagetrestle/net/routing/inputs.py
+++ b/sagetrestle/net/routing/inputs.py
@@ -9,13 +9,18 @@
 )
 
 if TYPE_CHECKING:
+    from sagetrestle.handover import elder, successor
     from sagetrestle.identity.judge import Snapshot
 
 
 class Started(NamedTuple):
-    """The program is up, and reaches the others at these addresses."""
+    """The program is up, and reaches the others at these addresses.
+
+    ``elders`` sockets were found that may belong to an older process of this server.
+    """
 
     peers: Peers
+    elders: int = 0
 
 
 class Reconfigured(NamedTuple):
@@ -94,6 +99,18 @@
     call: OperatorCall
 
 
+class FromElder(NamedTuple):
+    """Something happened on the stream to the older process of this server."""
+
+    event: successor.Event
+
+
+class FromHeir(NamedTuple):
+    """Something happened on a stream from a newer process of this server."""
+
+    event: elder.Event
+
+
 class KernelConnected(NamedTuple):
     """The link to the kernel with this number stands, with nothing said on it yet."""
 
@@ -181,7 +198,8 @@
 
 Input = Union[
     Started, Reconfigured, ReloadFailed, IdentityRead, IdentityFailed, StopAsked, ConnectionOpened,
-    ConnectionEnded, RequestRead, RequestRejected, Withdrawn, HealthAsked, ManagementAsked, KernelConnected, KernelLost,
+    ConnectionEnded, RequestRead, RequestRejected, Withdrawn, HealthAsked, ManagementAsked, FromElder, FromHeir,
+    KernelConnected, KernelLost,
     KernelBooted, RunOver, RunCalls, GaugesRead, CommandRejected, KernelRemark, CallAnswered, CallBroken,
     LedgerLost,
 ]
--- a/sagetrestle/net/routing/keys.py
+++ b/sagetrestle/net/routing/keys.py
@@ -8,10 +8,14 @@
 
 import hashlib
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from sagetrestle.interface import Effect, Settings
 from sagetrestle.net.routing.values import Request
 
+if TYPE_CHECKING:  # what is off is not loaded
+    from sagetrestle.handover.messages import Record
+
 Key = tuple[str, int, str, str]  # kind, class, tenant, and the key or subject
 NO_KEY: Key = ("", 0, "", "")
 MARGIN_US = 5_000  # ``s`` is in whole milliseconds and its rounding is the other side's
@@ -142,6 +146,54 @@
         state = self.keys.get(key) if key and key[0] == "keyed" else None
         return not state or state.ran in (None, request.id) or request.arrived > state.ran_until
 
+    def ran_id(self, request: Request) -> str | None:
+        """Return the try of its key that ran, if its window holds this one's arrival."""
+        key = self.key_of(request)
+        state = self.keys.get(key) if key else None
+        return state.ran if state and request.arrived <= state.ran_until else None
+
+    def records(self, now: int) -> list[Record]:
+        """Return all keys of which a try ran that can still be repeated, for another process."""
+        return [self._record(key, state, state.ran) for key, state in self.keys.items()
+                if key[0] == "keyed" and state.ran and state.ran_until + LATE_READ_US > now]
+
+    def record(self, request: Request) -> Record:
+        """Return a keyed try as another process would know it if it ran."""
+        key = self.key_of(request)
+        assert key is not None
+        until = request.arrived + self.settings.classes[request.cls].window_us + MARGIN_US
+        return self._record(key, KeyState(_digest(request.body), ran_until=until), request.id)
+
+    def _record(self, key: Key, state: KeyState, id: str) -> Record:
+        from sagetrestle.handover.messages import KeyName, Record  # only where there is another process
+        cls = self.settings.classes[key[1]]
+        arrived = state.ran_until - cls.window_us - MARGIN_US
+        return Record(KeyName(cls.name, key[2], key[3]), state.digest, id, arrived, state.ran_until)
+
+    def ran_within(self, record: Record) -> tuple[str, bytes] | None:
+        """Return the try, and its body's digest, that ran in whose window another process's try came."""
+        state = self.keys.get(self._named(record))
+        if state is None or state.ran in (None, record.id) or record.arrived_us > state.ran_until:
+            return None
+        return state.ran, state.digest
+
+    def adopt(self, record: Record) -> None:
+        """Remember a try that ran at another process as one that ran here."""
+        key = self._named(record)
+        state = self.keys.setdefault(key, KeyState(record.digest))
+        state.digest, state.ran, state.ran_until = record.digest, record.id, record.until_us
+        self.names[record.id] = key
+
+    def _named(self, record: Record) -> Key:
+        """Return a key by this process's class numbers; one of a class that is gone ties nothing here."""
+        at = next((at for at, cls in enumerate(self.settings.classes) if cls.name == record.key.cls), -1)
+        return ("keyed", at, record.key.tenant, record.key.key)
+
+    def learn(self, id: str, result: bytes | None, until: int) -> None:
+        """Keep what became of a try at another process."""
+        if id in self.names:
+            self._put(id, result, until)
+
     def finish(self, request: Request, result: bytes | None, now: int) -> None:
         """Keep what became of a try as long as a repeat of it can be read."""
         if request.id not in self.names:
@@ -154,8 +206,11 @@
             state.held_until = min(state.held_until, until)
             if result is None and state.holder == request.id:
                 state.holder = None  # one that failed has nothing to share, not even in the same turn
-        self._drop_result(request.id)
-        self.results[request.id] = Finished(result, until + LATE_READ_US)
+        self._put(request.id, result, until + LATE_READ_US)
+
+    def _put(self, id: str, result: bytes | None, until: int) -> None:
+        self._drop_result(id)
+        self.results[id] = Finished(result, until)
         self.held_bytes += len(result or b"")
         while self.held_bytes > self.most_bytes:  # a repeat of what is dropped fails; it does not run again
             self._drop_result(next(iter(self.results)))
--- a/sagetrestle/net/routing/reducer.py
+++ b/sagetrestle/net/routing/reducer.py
@@ -52,7 +52,7 @@
         return []
     for item in items:
         _attempt(turn, HANDLERS[type(item)], item)
-    for step in (_wake, calls.give_up_late, _run_module, chores.run_chores, access.swap, _run_module):
+    for step in STEPS:
         _attempt(turn, step)
     state.keys.end_turn()
     return turn.effects
@@ -80,6 +80,8 @@
     times = [*state.chores.values(), *state.calls.values()]
     if state.wakes:
         times.append(state.wakes[0][0])
+    if state.pair is not None and (due := state.pair.due()) is not None:
+        times.append(due)
     return min(times, default=None)
 
 
@@ -90,9 +92,19 @@
         turn.events.append(Woke(heapq.heappop(wakes)[1], turn.state.gauges))
 
 
+def _tick_pair(turn: Turn) -> None:
+    """Let the handing over to or from another process go on."""
+    if turn.state.pair is not None:
+        turn.state.pair.tick(turn)
+
+
 def _run_module(turn: Turn) -> None:
     """Let the module decide until nothing more follows from what it decided."""
     while turn.events and turn.state.policy:
         events, turn.events = turn.events, []
         for action in turn.state.policy.handle(turn.now, events):
             carry_out(turn, action)
+
+
+STEPS: tuple[Callable[[Turn], None], ...] = (
+    _wake, calls.give_up_late, _run_module, chores.run_chores, access.swap, _run_module, _tick_pair, _run_module)
--- a/sagetrestle/net/routing/runs.py
+++ b/sagetrestle/net/routing/runs.py
@@ -72,6 +72,8 @@
         born = turn.now - item.age_us
         turn.log(f"kernel up, {'cold' if item.cold else 'warm'}, for {item.age_us // 1000} ms")
         _run_module_at_birth(turn, born)
+        if state.pair is not None:
+            state.pair.kernel_up(turn)
     state.kernel.link = Link.SYNCING
     state.kernel.syncs += 1
     turn.effects.append(AskGauges(_sync_cookie(turn)))
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -16,12 +16,14 @@
 
 if TYPE_CHECKING:  # what is off is not loaded
     from sagetrestle.identity.guard import Guard
+    from sagetrestle.net.routing.handover import Pair
 
 
 class Phase(Enum):
     """Where a request stands."""
 
     HELD = "held"
+    CLAIMING = "waiting for another process to grant the run"
     RUNNING = "running"
     PAUSED = "paused"
     AT_CALL = "at a call not made"
@@ -46,6 +48,7 @@
     phase: Phase = Phase.HELD
     owed: bool = True  # an answer
     ran: bool = False
+    claimed: bool = False  # granted by another process
     pausing: bool = False
     resent: list[CommandKind] = field(default_factory=list)  # written twice, so that one may be rejected
     unconfirmed: list[Command] = field(default_factory=list)
@@ -125,6 +128,8 @@
     figures: Figures = field(default_factory=Figures)
     value: float | None = None
     idle_us: int = 0
+    listening: bool = False
+    pair: Pair | None = None  # with another process of this server, where there may be one
     exited: bool = False
 
 
--- a/sagetrestle/net/routing/values.py
+++ b/sagetrestle/net/routing/values.py
@@ -168,6 +168,7 @@
     requests: int
     results: int  # bytes
     management: int = 0  # callers of the second address
+    own: int = 0  # descriptors beside connections and calls
 
 
 @dataclass(frozen=True)
--- a/sagetrestle/net/transport/connection.py
+++ b/sagetrestle/net/transport/connection.py
@@ -141,6 +141,7 @@
         self.reactor, self.kind, self.protocol, self.post, self.most = reactor, kind, protocol, post, most
         self.connections: dict[ConnectionId, C] = {}
         self.port: IListeningPort | None = None
+        self.more_ports: list[IListeningPort] = []  # passed by another process when there was one already
         self._count = 0
 
     def send(self, ticket: Ticket, answer: Answer, value: float | None) -> None:
@@ -188,13 +189,15 @@
         self.connections[connection.name] = connection
         self.post(ConnectionOpened(connection.name))
 
-    def stop_listening(self) -> None:
-        """Close the listening socket, after taking in what already waits on it.
+    def stop_listening(self, shared: bool = False) -> None:
+        """Close the listening sockets, after taking in what already waits on them.
 
         A connection that the machine accepted but that was never taken in would be reset, and a request
-        written to it lost.
+        written to it lost. What waits at a socket that another process shares is left to that.
         """
-        if self.port is not None:
-            self.port.doRead()
-            self.port.stopListening()
-            self.port = None
+        for port in (self.port, *self.more_ports):
+            if port is not None:
+                if not shared:
+                    port.doRead()
+                port.stopListening()
+        self.port, self.more_ports = None, []
--- a/sagetrestle/net/transport/management.py
+++ b/sagetrestle/net/transport/management.py
@@ -16,9 +16,10 @@
 
 from sagetrestle.net.protocol.management import CallDecoder, CallError, encode_answer
 from sagetrestle.net.routing.inputs import ManagementAsked
-from sagetrestle.net.routing.values import OperatorCall, Reply
+from sagetrestle.net.routing.values import Address, OperatorCall, Reply
 from sagetrestle.net.transport.ends import Post
 
+BACKLOG = 128
 UNFINISHED_S = 2.0  # for a call to be whole, and again for its answer to be taken
 LINGER_S = 0.5  # how long input is still read and dropped after an answer that did not wait for all of it
 CALLS = {"/api/ready": OperatorCall.READY, "/api/telemetry": OperatorCall.TELEMETRY,
@@ -120,8 +121,8 @@
         if connection:
             connection.respond(reply)
 
-    def close(self) -> None:
-        """Take no more calls."""
-        if self.port is not None:
-            self.port.stopListening()
-            self.port = None
+    def listen(self, address: Address) -> Address:
+        """Take calls at this address and return the one that was got. Raises CannotListenError."""
+        host, port = address
+        self.port = self.reactor.listenTCP(port, self, BACKLOG, host)
+        return host, self.port.getHost().port
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -22,13 +22,15 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
+from sagetrestle.handover import elder, successor
 from sagetrestle.net.program import main as program
 from sagetrestle.net.program.clock import Clock
 from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig
 from sagetrestle.net.program.limits import Limits, derive
 from sagetrestle.net.protocol import scgi, thrift
+from sagetrestle.net.protocol.handover import decode, encode
 from sagetrestle.net.protocol.thrift import Kind, Type
-from sagetrestle.net.routing.inputs import IdentityFailed, IdentityRead, Started, StopAsked
+from sagetrestle.net.routing.inputs import FromElder, FromHeir, IdentityFailed, IdentityRead, Started, StopAsked
 from sagetrestle.net.routing.values import Peers, Plan, Ticket
 from sagetrestle.wirehost import read_settings
 
@@ -240,10 +242,12 @@
 class KernelPeer:
     """The kernel; it answers ``OPEN`` and the gauges by itself, the rest is the scenario's."""
 
-    def __init__(self, world: World) -> None:
+    boots_at_first = True
+
+    def __init__(self, world: World, at: int) -> None:
         self.world, self.serial, self.commands, self.opened = world, 0, [], []
-        self.boots = True
-        self.wire = world.accept(0)
+        self.boots = self.boots_at_first
+        self.wire = world.accept(at)
 
     def pump(self) -> None:
         """Read the commands that came."""
@@ -416,12 +420,65 @@
             test.assertIn(word.replace("_", " "), data)
 
 
+class Streams:
+    """In place of ``program/handover.py``: what is said passes as the bytes that it is on a stream.
+
+    ``held`` collects what is on its way instead of delivering it, and may be lost with the stream.
+    """
+
+    def __init__(self, world: World, elder: World | None) -> None:
+        self.world, self.to_elder = world, elder and elder.streams
+        self.heir: Streams | None = None
+        self.held: list[Any] | None = None
+        self.dead = False
+        if self.to_elder:
+            self.to_elder.heir = self
+        port = SimpleNamespace(getHost=lambda: SimpleNamespace(port=0), stopListening=lambda: None,
+                               doRead=lambda: None)
+        self.listen = lambda *_: port
+        self.found = lambda: int(elder is not None)
+        self.adopt = self.open = self.close = lambda *_: None
+
+    def perform(self, what: Any) -> None:
+        """Carry out a decision about the streams."""
+        if self.dead:
+            return
+        match what:
+            case successor.Dial() if self.to_elder.dead:
+                self._post(self, FromElder(successor.Unlinked(True)))
+            case successor.Dial():
+                self._post(self, FromElder(successor.Linked()))
+            case successor.Say(message) if self.to_elder and not self.to_elder.dead:
+                self._post(self.to_elder, FromHeir(elder.Said(1, decode(encode(message)[:-1]))))
+            case elder.Say(_, message) if self.heir and not self.heir.dead:
+                self._post(self.heir, FromElder(successor.Said(decode(encode(message)[:-1]))))
+            case elder.HangUp():
+                self.break_link()
+
+    def _post(self, to: Streams, item: Any) -> None:
+        held = to.held
+        held.append(item) if held is not None else to.world.scorer.loop.post(item)
+
+    def break_link(self) -> None:
+        """End the stream between this process and its successor; what is held is lost."""
+        self.held = self.heir.held = None
+        self.world.scorer.loop.post(FromHeir(elder.Unlinked(1)))
+        self.heir.world.scorer.loop.post(FromElder(successor.Unlinked(False)))
+
+    def release(self) -> None:
+        """Deliver what was held."""
+        items, self.held = self.held, None
+        for item in items:
+            self.world.scorer.loop.post(item)
+
+
 class World:
     """One scorer in memory, and its peers."""
 
     def __init__(self, test: unittest.TestCase, stop_ms: int = 3_200, identity: Any = None,
-                 managed: bool = False) -> None:
-        self.test, self.reactor = test, MemoryReactorClock()
+                 managed: bool = False, elder: World | None = None) -> None:
+        self.test, self.reactor = test, elder.reactor if elder else MemoryReactorClock()
+        self.group = [elder, self] if elder else [self]  # worlds that share their time
         self.tokens: dict[str, str] = {}
         self.snapshots: dict[str, Any] = {}
         self.lines: list[str] = []
@@ -440,14 +497,17 @@
             report=self.reports.append, listen=lambda *_: None, use=self.roster_at.append)
         announce = SimpleNamespace(publish=self.announced.append)
         self.scorer.dns = SimpleNamespace(authority=announce)
-        self.scorer.loop.post(Started(given.peers))
+        if managed:
+            self.scorer.handover = self.streams = Streams(self, elder)
+        links = len(self.reactor.tcpClients)
+        self.scorer.loop.post(Started(given.peers, 1 if elder else 0))
         self.settle()
         for front in self.scorer.fronts.values():
             front.port = None  # the reactor's stand-in for a listening socket has nothing to accept
         self.actors: dict[str, Any] = {"platform": Platform(self), "ledger": LedgerPeer(self)}
         self.actors["operators"] = Operators(self)
         self.actors["operator"] = OperatorPeer(self)
-        self.actors["kernel"] = self.kernel = KernelPeer(self)
+        self.actors["kernel"] = self.kernel = KernelPeer(self, links)
         self.actors |= {"thrift": ThriftPeer(self), "thrift2": ThriftPeer(self), "scgi": ScgiPeer(self)}
         self.settle()
 
@@ -483,8 +543,9 @@
         """Let all that is on its way arrive, in a few ticks of a millisecond."""
         for _ in range(4):
             self.reactor.advance(0.001)
-            if hasattr(self, "kernel"):
-                self.kernel.pump()
+            for world in self.group:
+                if hasattr(world, "kernel"):
+                    world.kernel.pump()
 
     def wait(self, ms: int) -> None:
         """Let time pass."""
@@ -514,3 +575,33 @@
         """Start the scorer."""
         self.world = World(self, self.stop_ms, self.identity, self.managed)
         self.play = self.world.play
+
+
+class PairCase(ScenarioCase):
+    """Scenarios on two processes of one scorer: lines begin with ``old`` or ``new``, or are ``wait MS``."""
+
+    managed = True
+
+    def setUp(self) -> None:
+        """Start the older one."""
+        super().setUp()
+        self.old, self.new = self.world, None
+
+    def upgrade(self) -> None:
+        """Start the newer one beside it."""
+        self.new = World(self, self.stop_ms, self.identity, True, self.old)
+        self.old.group = self.new.group
+        self.new.wait(10)
+
+    def lose_old(self) -> None:
+        """Have the older one be dead, which the newer one finds out by the stream and by a refusal."""
+        self.old.streams.dead = True
+        self.new.scorer.loop.post(FromElder(successor.Unlinked(False)))
+        self.new.wait(300)
+
+    def pair(self, text: str) -> None:
+        """Run a scenario."""
+        for line in text.strip().splitlines():
+            who, _, rest = line.strip().partition(" ")
+            world = {"old": self.old, "new": self.new}.get(who, self.old)
+            world.play(rest if who in ("old", "new") else line)
--- /dev/null
+++ b/tests/net/test_handover.py
@@ -0,0 +1,414 @@
+"""Two processes of one scorer in memory, by scenarios: keys, results, health and what is lost with either side."""
+
+from sagetrestle.handover import elder, messages
+from sagetrestle.net.routing.inputs import FromHeir
+from tests.net import scenario
+from tests.net.scenario import KernelPeer, PairCase
+
+
+class TakeOverTest(PairCase):
+    """The usual way."""
+
+    def test_the_newer_one_serves_and_the_older_one_finishes_and_leaves(self):
+        self.pair("""
+            old thrift send a quick-check
+            old kernel expect SCHED a""")
+        self.upgrade()
+        self.pair("""
+            new operator send r GET /api/ready
+            new operator expect r 200 ready
+            new platform expect on
+            old operator send r GET /api/ready
+            old operator expect r 503 newer
+            old thrift expect leaving
+            old kernel send done a one
+            old thrift expect a served one
+            old thrift close
+            wait 100
+            old platform expect exit
+            new thrift send b quick-check
+            new kernel expect SCHED b
+            new kernel send done b two
+            new thrift expect b served two""")
+
+    def test_the_roster_never_hears_off(self):
+        """Neither on the way out, nor from SIGTERM, nor from a module that leaves the roster: it speaks for both."""
+        self.pair("""
+            old thrift send a paid-check key=K
+            old kernel expect SCHED a""")
+        self.upgrade()
+        self.pair("""
+            old platform send TERM
+            wait 600
+            old kernel send done a one
+            old thrift expect a served one""")
+        self.assertNotIn(False, self.old.reports + self.new.reports)
+        self.assertNotIn(False, self.old.announced + self.new.announced)
+
+    def test_what_crosses_the_way_out_is_answered_by_the_older_one(self):
+        self.pair("old thrift send status")
+        self.upgrade()
+        self.pair("""
+            old thrift expect leaving
+            old thrift send b quick-check
+            old kernel expect SCHED b
+            old kernel send done b two
+            old thrift expect b served two""")
+
+    def test_a_request_half_read_as_the_newer_one_takes_over_is_answered(self):
+        peer = self.old.actors["thrift"]
+        data = peer._request("a", "quick-check")
+        peer.wire.protocol.dataReceived(data[:40])
+        self.upgrade()
+        self.pair("wait 300")
+        peer.wire.protocol.dataReceived(data[40:])
+        self.pair("""
+            wait 10
+            old kernel expect SCHED a
+            old kernel send done a one
+            old thrift expect a served one""")
+
+    def test_a_new_connection_that_said_nothing_is_not_cut_at_once(self):
+        """Its first request is on its way; closed at the next look it would end at the door."""
+        wire = self.old.connect("thrift")
+        self.upgrade()
+        self.pair("wait 700")
+        self.assertTrue(wire.connected)
+        self.pair("wait 700")
+        self.assertFalse(wire.connected)
+
+    def test_nothing_is_ready_before_the_kernel_is_up_and_the_older_one_serves_on(self):
+        self.upgrade_without_kernel()
+        self.pair("""
+            wait 5000
+            new operator send r GET /api/ready
+            new operator expect r 503 starting
+            old thrift send a quick-check
+            old kernel expect SCHED a
+            old operator send r GET /api/ready
+            old operator expect r 200""")
+        self.new.kernel.tell(msg="BOOTED", how="seasoned", duration=1)
+        self.pair("""
+            wait 50
+            new operator send r2 GET /api/ready
+            new operator expect r2 200""")
+        self.assertEqual([], self.new.reports[:-3])
+
+    def upgrade_without_kernel(self):
+        KernelPeer.boots_at_first = False
+        try:
+            self.upgrade()
+        finally:
+            KernelPeer.boots_at_first = True
+
+    def test_sigterm_before_the_newer_one_asked_hands_over_unasked(self):
+        self.upgrade_without_kernel()
+        self.pair("""
+            old platform send TERM
+            wait 300
+            old thrift send a quick-check
+            old kernel expect SCHED a""")
+        self.assertNotIn(False, self.old.reports)
+        self.new.kernel.tell(msg="BOOTED", how="seasoned", duration=1)
+        self.pair("""
+            wait 50
+            new operator send r GET /api/ready
+            new operator expect r 200
+            old kernel send done a one
+            old thrift expect a served one""")
+
+    def test_sigterm_bounds_the_older_one_though_something_hangs(self):
+        self.pair("""
+            old thrift send a paid-check key=K
+            old kernel expect SCHED a""")
+        self.upgrade()
+        self.pair("""
+            old platform send TERM
+            wait 3400
+            old platform expect running
+            wait 250
+            old thrift expect a failed
+            old platform expect exit""")
+
+    def test_the_newer_one_is_upgraded_in_its_turn(self):
+        self.upgrade()
+        self.pair("wait 200")
+        self.lose_old()
+        self.old, self.new = self.new, None
+        self.upgrade()
+        self.pair("""
+            new operator send r GET /api/ready
+            new operator expect r 200""")
+
+    def test_what_the_older_one_holds_is_taken_off_the_bounds(self):
+        for _ in range(40):
+            self.old.connect("thrift")
+        front = "thrift"
+        self.upgrade()
+        held = self.new.scorer.loop.state.pair.lent
+        self.assertGreaterEqual(held, 40)
+        most = self.new.scorer.config.plan.bounds.connections[front]
+        self.assertEqual(most - held, self.new.scorer.fronts[front].most)
+        self.pair("""
+            old thrift send a report-view
+            wait 150""")
+        self.assertEqual(1, self.new.scorer.loop.state.policy.beside.running)
+        self.assertGreater(self.new.scorer.loop.state.policy.memory, 0)
+
+
+class KeysTest(PairCase):
+    """A key runs once over both processes."""
+
+    def test_a_result_from_before_is_given_by_the_newer_one(self):
+        self.pair("""
+            old thrift send a paid-check key=K body=same
+            old kernel expect SCHED a
+            old kernel send done a result
+            old thrift expect a served result""")
+        self.upgrade()
+        self.pair("""
+            wait 100
+            new thrift send b paid-check key=K body=same retry=1
+            new thrift expect b served result
+            new kernel expect nothing""")
+
+    def test_its_result_is_there_after_the_older_one_is_gone(self):
+        self.test_a_result_from_before_is_given_by_the_newer_one()
+        self.lose_old()
+        self.pair("""
+            new thrift send c paid-check key=K body=same retry=1
+            new thrift expect c served result
+            new kernel expect nothing""")
+
+    def test_a_repeat_waits_for_the_run_at_the_older_one(self):
+        self.pair("""
+            old thrift send a paid-check key=K body=same
+            old kernel expect SCHED a""")
+        self.upgrade()
+        self.pair("""
+            new thrift send b paid-check key=K body=same retry=1
+            new kernel expect nothing
+            old thrift send withdraw a
+            old kernel send done a result
+            new thrift expect b served result
+            new kernel expect nothing""")
+
+    def test_a_held_try_at_the_older_one_asks_and_runs(self):
+        self.fill_old()
+        self.pair("old thrift send a paid-check key=K body=same")
+        self.upgrade()
+        self.pair("""
+            old kernel send done f1 x
+            old kernel expect SCHED a same
+            new thrift send b paid-check key=K body=same retry=1
+            new kernel expect nothing
+            old kernel send done a result
+            new thrift expect b served result
+            old thrift expect a served result""")
+
+    def fill_old(self):
+        self.pair("""
+            old thrift send f1 report-view
+            old thrift2 send f2 report-view
+            old kernel expect SCHED f1
+            old kernel expect SCHED f2""")
+
+    def test_a_held_try_waits_for_the_one_that_ran_at_the_newer_one(self):
+        """Both have a try; the newer one's ran first, so the older one's is denied and gets that result."""
+        self.fill_old()
+        self.pair("old thrift send a paid-check key=K body=same")
+        self.upgrade()
+        self.pair("""
+            new thrift send b paid-check key=K body=same retry=1
+            new kernel expect SCHED b same
+            old kernel send done f1 x
+            old kernel expect nothing
+            new kernel send done b result
+            new thrift expect b served result
+            old thrift expect a served result
+            old kernel expect nothing""")
+
+    def test_a_denied_try_with_another_body_conflicts(self):
+        self.fill_old()
+        self.pair("old thrift send a paid-check key=K body=same")
+        self.upgrade()
+        self.pair("""
+            new thrift send b paid-check key=K body=other
+            new kernel expect SCHED b other
+            old kernel send done f1 x
+            old thrift expect a failed
+            old kernel expect nothing""")
+
+    def test_a_claimed_key_runs_nowhere_else_though_it_was_held_there(self):
+        """Both get a try in one turn: whoever asks the owner first runs, the other waits."""
+        self.fill_old()
+        self.pair("old thrift send a paid-check key=K body=same")
+        self.upgrade()
+        self.pair("""
+            new thrift send f3 report-view
+            new thrift2 send f4 report-view
+            new kernel expect SCHED f3
+            new kernel expect SCHED f4
+            new thrift send b paid-check key=K body=same retry=1
+            old kernel send done f1 x
+            old kernel expect SCHED a same
+            new kernel send done f3 x
+            new kernel expect nothing
+            old kernel send done a result
+            old thrift expect a served result
+            new thrift expect b served result""")
+
+    def test_every_key_of_a_large_table_passes_with_its_result(self):
+        count = 700
+        for at in range(count):
+            self.old.play(f"""
+                thrift send k{at} paid-check key=K{at} body=b
+                kernel expect SCHED k{at}
+                kernel send done k{at} r{at}
+                thrift expect k{at} served r{at}""")
+        self.upgrade()
+        self.pair("wait 100")
+        keys = self.new.scorer.loop.state.keys
+        self.assertEqual(count, len(keys.results))
+        self.assertEqual({}, self.new.scorer.loop.state.pair.claims.remote)
+
+
+class LossTest(PairCase):
+    """Either side dies, stalls or says nothing."""
+
+    def state(self):
+        return self.new.scorer.loop.state
+
+    def test_one_that_says_nothing_is_given_up_in_time_and_its_keys_do_not_run(self):
+        self.pair("""
+            old thrift send a paid-check key=K body=same
+            old kernel expect SCHED a""")
+        self.old.streams.held = []
+        self.upgrade()
+        self.pair("""
+            wait 3100
+            new operator send r GET /api/ready
+            new operator expect r 200
+            new thrift send b paid-check key=K body=same retry=1
+            new thrift expect b failed
+            new thrift send c quick-check
+            new kernel expect SCHED c
+            new kernel expect nothing""")
+        self.old.streams.release()  # it wakes after all, and hands over: the key is known, and waits
+        self.pair("""
+            wait 50
+            new thrift send d paid-check key=K body=same retry=1
+            new kernel expect nothing
+            old kernel send done a result
+            new thrift expect d served result
+            new thrift send e paid-check key=L
+            new kernel expect SCHED e""")
+
+    def test_a_dead_one_leaves_doubt_for_a_window_and_no_longer(self):
+        self.old.streams.dead = True
+        self.upgrade()
+        self.pair("""
+            new operator send r GET /api/ready
+            new operator expect r 200
+            new thrift send a paid-check key=K
+            new thrift expect a failed
+            wait 28000
+            new thrift2 send b paid-check key=K
+            new kernel expect SCHED b""")
+
+    def test_one_killed_in_the_middle_is_not_waited_for(self):
+        self.pair("""
+            old thrift send a paid-check key=K body=same
+            old kernel expect SCHED a""")
+        self.upgrade()
+        self.pair("new thrift send b paid-check key=K body=same retry=1")
+        self.lose_old()
+        self.pair("""
+            new thrift expect b failed
+            new thrift send c paid-check key=K body=same retry=1
+            new thrift expect c failed
+            new kernel expect nothing
+            new thrift send d paid-check key=L
+            new kernel expect SCHED d""")
+        self.assertEqual(0, self.state().pair.lent)
+
+    def test_a_token_lost_on_its_way_leaves_neither_with_keys_it_may_not_run(self):
+        self.upgrade_held()
+        self.pair("wait 50")
+        self.old.scorer.loop.post(_said_ask())
+        self.pair("wait 10")
+        self.assertIs(elder.Stage.YIELDED, self.old.scorer.loop.state.pair.elder.stage)
+        self.old.streams.break_link()
+        self.old.streams.dead = False
+        self.new.streams.held = []  # cut off for good
+        self.pair("""
+            wait 10
+            old thrift send a paid-check key=K
+            old thrift expect a failed
+            old thrift send b quick-check
+            old kernel expect SCHED b""")
+        self.assertGreater(self.state().pair.successor.doubt_until, self.new.scorer.loop.now)
+
+    def upgrade_held(self):
+        """Start the newer one with all that is said to it held up on its way."""
+        made = scenario.Streams.__init__
+
+        def held(streams, world, elder):
+            made(streams, world, elder)
+            streams.held = []
+
+        scenario.Streams.__init__ = held
+        self.addCleanup(setattr, scenario.Streams, "__init__", made)
+        self.upgrade()
+        scenario.Streams.__init__ = made
+        self.old.scorer.loop.post(_said_hello())
+
+    def test_a_newer_one_that_dies_before_it_serves_changes_nothing(self):
+        self.upgrade_held()
+        self.pair("wait 20")
+        self.old.streams.break_link()
+        self.pair("""
+            wait 20
+            old thrift send a paid-check key=K
+            old kernel expect SCHED a
+            old operator send r GET /api/ready
+            old operator expect r 200""")
+
+    def test_sigterm_with_a_newer_one_that_then_dies_is_a_drain_again(self):
+        self.upgrade_held()
+        self.pair("""
+            wait 20
+            old platform send TERM""")
+        self.assertNotIn(False, self.old.reports)
+        self.old.streams.break_link()
+        self.pair("""
+            wait 20
+            old platform expect off""")
+
+    def test_a_claim_that_is_not_answered_fails(self):
+        self.pair("""
+            old thrift send f1 report-view
+            old thrift2 send f2 report-view
+            old kernel expect SCHED f1
+            old kernel expect SCHED f2
+            old thrift send a paid-check key=K""")
+        self.upgrade()
+        self.old.streams.held = []
+        self.pair("""
+            old kernel send done f1 x
+            old kernel expect nothing
+            old thrift expect nothing a""")
+        self.new.streams.dead = True
+        self.old.streams.break_link()
+        self.pair("""
+            wait 10
+            old thrift expect a failed
+            old kernel expect nothing""")
+
+
+def _said_hello():
+    return FromHeir(elder.Said(1, messages.Hello(messages.VERSION, "n1", "127.0.0.1:0")))
+
+
+def _said_ask():
+    return FromHeir(elder.Said(1, messages.Ask()))
--- a/tests/net/test_management.py
+++ b/tests/net/test_management.py
@@ -243,6 +243,34 @@
             operator send r GET /api/ready
             operator expect r 503 slow""")
 
+    def test_what_is_held_while_full_is_run_in_its_turn(self):
+        self.play("""
+            thrift send f1 report-view
+            thrift2 send f2 report-view
+            kernel expect SCHED f1
+            kernel expect SCHED f2
+            thrift send a paid-check key=K
+            operator send e POST /api/evacuate
+            operator expect e 200 evacuated
+            kernel send done f1 x
+            kernel expect SCHED a
+            kernel send done a one
+            thrift expect a served one""")
+
+    def test_a_roster_that_can_not_be_told_changes_nothing(self):
+        def down(on):
+            raise OSError("network unreachable")
+
+        self.world.scorer.roster.report = down
+        self.play("""
+            operator send e POST /api/evacuate
+            operator expect e 200 evacuated
+            thrift send status
+            thrift expect status bad
+            operator send j POST /api/rejoin
+            operator expect j 200 ready
+            platform expect running""")
+
     def test_a_reload_keeps_an_evacuation(self):
         self.play("""
             operator send e POST /api/evacuate
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -43,6 +43,7 @@
              "router": (*SEEDED, *TOOLS, "identity", "limits"), "attempts": (*SEEDED, *TOOLS, "identity"),
              "recovery": (*IO, *TOOLS, "identity", "membership"),
              "translation": (*IO, *TOOLS, "identity", "membership", "router"),
+             "handover": (*IO, *TOOLS, "identity", "membership", "router"),
              "identity": (*IO, *TOOLS, "membership"), "limits": (*IO, *TOOLS, "identity"),
              "store": ("twisted", "net", *TOOLS)}
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -521,3 +521,13 @@
     lines = [one.text for one in actions if isinstance(one, face.Log)]
     assert lines == ["drain: 1 requests in hand", "slow cores: off the roster for a time"]
     assert "drain: N requests in hand" in page and lines[1] in page
+
+
+def test_another_process_beside_takes_its_part_of_memory_and_crowd():
+    """Two processes of one server share both; without this each would fill all of it by itself."""
+    made = policy(cores=2, memory_kb=1000.0)
+    made.handle(0, [face.Beside(900.0, 4)])
+    assert made._crowd() == policy(cores=2)._crowd() - 4
+    assert ids(made.handle(1 * MS, [arrive("a", kb=60.0)]), Refuse) == ["a"]
+    assert ids(made.handle(2 * MS, [face.Beside(), arrive("b", kb=60.0)]), Run) == ["b"]
+    assert made.load() == face.Beside(240.0, 1)
