--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -11,7 +11,7 @@
 import click
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.machine import heading, spread
+from benchmarks.machine import ROOT, heading, spread
 from sagetrestle.lab.clients import FrontEnd
 from sagetrestle.lab.operator import call
 from sagetrestle.lab.place import HERE, Place
@@ -19,6 +19,9 @@
 from sagetrestle.lab.upgrades import LIMITS, Caller, Report, Upgrades
 
 
+PLATFORM = ROOT / ".venv" / "bin" / "python"  # made by `make build`
+
+
 async def upgrades(seconds: float, seed: int, load: float) -> Report:
     """Upgrade every 4 s under this part of what one machine can do."""
     with tempfile.TemporaryDirectory() as folder:
@@ -92,6 +95,9 @@
 def main(seconds: float, seeds: int) -> None:
     """Print all measurements."""
     sys.stdout.reconfigure(line_buffering=True)  # type: ignore[union-attr]
+    if PLATFORM.exists():
+        ScorerProcess.python = str(PLATFORM)
+    print(f"scorers run by {'the platform' if PLATFORM.exists() else 'this'} environment")
     print(heading("one scorer with 2 emulated cores; limits 80 MB and 384 descriptors"))
     for seed in range(1, seeds + 1):
         for load in (0.7, 1.3):
--- a/sagetrestle/lab/scorer.py
+++ b/sagetrestle/lab/scorer.py
@@ -21,7 +21,12 @@
 
 
 class ScorerProcess:
-    """One scorer with its kernel, ledger and roster. ``ports`` has what it listens on, by front."""
+    """One scorer with its kernel, ledger and roster. ``ports`` has what it listens on, by front.
+
+    ``python`` runs it: a measurement of memory takes the platform's environment, which has fewer libraries.
+    """
+
+    python = sys.executable
 
     def __init__(self, folder: Path, kernel: EmulatedKernel, settings: Mapping[str, Any],
                  deploy: Mapping[str, str], name: str = "n1", root: Path = ROOT,
@@ -68,7 +73,7 @@
         env = {**os.environ, "PYTHONPATH": str(self._root), "ROUTER_CONFIG": f"{self.folder}/{file}",
                "TMPDIR": str(self.folder)}
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "sagetrestle", cwd=self.folder, env=env,
+            self.python, "-B", "-m", "sagetrestle", cwd=self.folder, env=env,
             stderr=asyncio.subprocess.PIPE)
         while len(self.ports) < fronts or not self.log_has(ready):
             if not await self._read_line():
--- a/sagetrestle/net/program/handover.py
+++ b/sagetrestle/net/program/handover.py
@@ -34,6 +34,7 @@
         self._port: Any = None
         self._fronts: Mapping[str, Front[Any]] = {}
         self._told = False
+        self.succeeds = False  # there was an elder
 
     def found(self) -> int:
         """Return how many sockets there are that may be an elder's."""
@@ -114,6 +115,7 @@
     def adopt(self, names: tuple[str, ...], fronts: Mapping[str, Front[Any]]) -> None:
         """Listen at the sockets that the elder passed."""
         self._fronts = fronts
+        self.succeeds = self.succeeds or bool(names)
         for name, fd in zip(names, self._elder.sockets(), strict=False):
             front = fronts.get(name)
             if front is not None:
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -23,7 +23,7 @@
 from sagetrestle.net.routing.inputs import Reconfigured, ReloadFailed, Started, StopAsked
 from sagetrestle.net.routing.state import new_state
 from sagetrestle.net.routing.values import ConnectionId
-from sagetrestle.net.transport.connection import Front, FrontConnection
+from sagetrestle.net.transport.connection import Front
 from sagetrestle.net.transport.dnssd import DnsResponder, ServiceAuthority
 from sagetrestle.net.transport.ends import Post
 from sagetrestle.net.transport.kernel_link import KernelLink
@@ -41,6 +41,7 @@
 
 BACKLOG = 512
 COLLECT = (5_000, 10, 10)  # almost nothing here is part of a cycle: looking for them seldom is enough
+DNS_AGAIN_S = 0.25
 EXIT_AFTER_S = 0.03  # for the last answers to leave their sockets
 SCGI_FILE, IDENTITY_FILE = Path("deploy/scgi.toml"), Path("deploy/identity.toml")
 LOG_FILE, DISCOVERY_FILE = Path("deploy/log.toml"), Path("deploy/discovery.toml")
@@ -159,8 +160,9 @@
                 self._with_connection(name, self.fronts[name.front].leave)
             case fx.Doubt(name):
                 self._with_connection(name, self.fronts[name.front].doubt)
-            case fx.CloseConnection(name):
-                self._with_connection(name, FrontConnection.close)
+            case fx.CloseConnection(name, unless_partial):
+                self._with_connection(
+                    name, lambda one: None if unless_partial and one.partial() else one.close())
             case fx.AnswerOperator(caller, reply):
                 self.management.answer(caller, reply)
             case fx.ConnectKernel(number, address):
@@ -238,7 +240,18 @@
             names = [cls.name for cls in self.config.plan.settings.classes]
             self.dns = DnsResponder(
                 ServiceAuthority(scgi.domain, scgi.instance, address, names), self.config.plan.bounds.dns)
-            self._listens("dns", scgi.dns_listen[0], self.dns.listen(self.reactor, scgi.dns_listen))
+            self._listen_dns(self.dns, scgi.dns_listen)
+
+    def _listen_dns(self, dns: DnsResponder, address: tuple[str, int]) -> None:
+        """Answer questions; in an upgrade the older process does, at the same address, until it is gone."""
+        try:
+            port = dns.listen(self.reactor, address)
+        except CannotListenError:
+            if not self.handover or not self.handover.succeeds:
+                raise
+            self.reactor.callLater(DNS_AGAIN_S, self._listen_dns, dns, address)
+        else:
+            self._listens("dns", address[0], port)
 
     def _open(self, front: Front[Any], host: str, port: int) -> int:
         """Take a front's listening socket and return its port, which the machine chose if it was 0."""
--- a/sagetrestle/net/routing/chores.py
+++ b/sagetrestle/net/routing/chores.py
@@ -145,7 +145,7 @@
             if one.proven:
                 turn.effects.append(AskToLeave(name))
         elif one.leaving_at is not None and turn.now - one.leaving_at >= (LEAVING_US if one.proven else unproven_us):
-            turn.effects.append(CloseConnection(name))
+            turn.effects.append(CloseConnection(name, unless_partial=True))
     turn.state.keys.sweep(turn.now)
     turn.state.chores["idle"] = turn.now + IDLE_EVERY_US
 
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -69,9 +69,10 @@
 
 
 class CloseConnection(NamedTuple):
-    """Close a connection once what was written to it is sent."""
+    """Close a connection once what was written to it is sent; ``unless_partial``: not within a request."""
 
     connection: ConnectionId
+    unless_partial: bool = False
 
 
 class Doubt(NamedTuple):
--- a/tests/net/standins.py
+++ b/tests/net/standins.py
@@ -20,12 +20,13 @@
 
     work_s = 0.03
     fronts = 3  # thrift, scgi and dns
+    over: dict[str, str] = {}  # what the configuration says besides
     end = signal.SIGTERM  # SIGKILL where the way out is not what is tested
 
     async def asyncSetUp(self) -> None:
         self.kernel = EmulatedKernel(work_s=self.work_s)
         self.folder = self.enterContext(tempfile.TemporaryDirectory())
-        self.scorer = ScorerProcess(Path(self.folder), self.kernel, PARAMS, self.deploy())
+        self.scorer = ScorerProcess(Path(self.folder), self.kernel, PARAMS, self.deploy(), over=self.over)
         await self.scorer.start(self.fronts)
         self.ports, self.roster, self.process = self.scorer.ports, self.scorer.roster, self.scorer.process
         self.told, self.log, self.log_has, self.stop = (
--- a/tests/net/test_identity_loopback.py
+++ b/tests/net/test_identity_loopback.py
@@ -5,6 +5,7 @@
 import json
 import re
 import signal
+import socket
 import ssl
 import subprocess
 import sys
@@ -14,6 +15,7 @@
 import trustme
 
 from sagetrestle.lab.clients import FrontEnd, status_of
+from sagetrestle.lab.kernel import EmulatedKernel
 from sagetrestle.lab.rotation import TENANTS_TOML, rotate_under_load
 from sagetrestle.lab.scorer import ROOT
 from sagetrestle.lab.signer import LabSigner, identity_toml, now_us
@@ -24,8 +26,8 @@
 MAPPED += '[tenants.web]\nrights = ["quick-check"]\ncertificates = ["urn:web"]\n'
 
 
-class FilesTest(LoopbackCase):
-    """Keys and tenants are read again as they change; TLS with its own files."""
+class FilesCase(LoopbackCase):
+    """A scorer with identity on, and its files."""
 
     work_s = 0.02
     fronts = 4
@@ -62,6 +64,36 @@
         port = self.ports["scgis"] if "tls" in given else self.ports["scgi"]
         return status_of(await ask_scgi(port, cls, b"x", **given))
 
+
+class UpgradeTest(FilesCase):
+    """An upgrade with all fronts on."""
+
+    fronts = 5
+    over = {"management": "127.0.0.1:0"}
+
+    def deploy(self):
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        return super().deploy() | {"scgi.toml": f'listen = "127.0.0.1:0"\ndns_listen = "127.0.0.1:{port}"\n'}
+
+    async def test_scgi_and_tls_pass_over_and_the_records_follow_when_their_address_is_free(self):
+        """The older process answers DNS until it is gone: its address can not be had before, and that ends nobody."""
+        token = self.signer.token("nile-homes", ["quick-check"])
+        new = await self.scorer.upgrade(EmulatedKernel(work_s=0.02), 2, "dns front listens", 5)
+        try:
+            self.assertEqual(self.ports["scgis"], new.ports["scgis"])
+            for tls in ({}, {"tls": self.client()}):
+                self.assertEqual(200, await self.ask(HTTP_AUTHORIZATION=f"Bearer {token}", **tls))
+            self.assertEqual(2, len(new.kernel.starts))
+        finally:
+            await new.stop()
+        self.assertFalse(new.log_has("failed:"), new.log)
+
+
+class FilesTest(FilesCase):
+    """Keys and tenants are read again as they change; TLS with its own files."""
+
     async def test_certificates_files_and_what_is_broken(self):
         web = self.client(self.ca)
         found = re.search(r"certificates = .*", MAPPED)[0]
