--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -46,7 +46,7 @@
     journal.close()
     before = time.perf_counter()
     journal = Journal(path, 4 << 30)
-    read = journal.read()
+    read = journal.read(0)
     middle = time.perf_counter()
     table, faults = replay(read.entries, 1 << 60)
     after = time.perf_counter()
--- a/sagetrestle/net/program/translate.py
+++ b/sagetrestle/net/program/translate.py
@@ -206,9 +206,9 @@
 
     def start(self) -> None:
         """Settle what the journal holds, compact it, and begin."""
-        read = self.journal.read()
+        read = self.journal.read(time.time_ns() // 1000)
         self.upstream.recover(read.entries, read.spoilt)
-        if read.entries and not read.spoilt:
+        if read.entries:
             self.journal.compact(self.upstream.effects.living(time.time_ns() // 1000))
         self.core.start()
 
--- a/sagetrestle/net/program/upstream.py
+++ b/sagetrestle/net/program/upstream.py
@@ -130,13 +130,19 @@
     def recover(self, entries: Iterable[Entry], spoilt: Iterable[str]) -> None:
         """Take up what the journal held; keys in doubt are bound to the server that may have run them."""
         self.effects, faults = replay(entries, self._terms.window_us)
-        for fault in [*faults, *(f"key {key!r}: its entry is spoilt" for key in spoilt)]:
+        lost = [f"key {key!r}: its entry can not be read, it is in doubt" for key in spoilt if key]
+        for fault in [*faults, *lost]:
             self._log(f"journal: {fault}")
         now = self._unix_us()
         doubts = self.effects.in_doubt(now)
         for one in doubts:
-            self.router.bind(one.key, one.server, one.boot, self._now())
+            if one.server:
+                self.router.bind(one.key, one.server, one.boot, self._now())
         self._log(f"journal: {len(self.effects.effects)} effects, {len(doubts)} in doubt")
+        if self.effects.lost_us is not None:
+            left = (self.effects.lost_us + self._terms.window_us - now) / 1e6
+            self._log(f"journal: entries of unknown keys are lost: charges whose end is not known are in doubt, "
+                      f"new ones too, for {max(0.0, left):.0f} s")
 
     def describe_with(self, describe: Describe) -> None:
         """Take what tells of a request's id its key, tenant, due time, retry mark and hint."""
@@ -214,6 +220,9 @@
                 return
             if standing is Standing.IN_DOUBT:
                 assert effect is not None
+                if not effect.server:  # nobody could settle it
+                    self._over(job.id, RunEnd.IN_DOUBT)
+                    return
                 job = job._replace(in_doubt=(effect.server, effect.boot))
         self._carry_out(self.keeper.begin(self._now(), job))
 
@@ -389,7 +398,7 @@
         """Ask after what a death left in doubt, as far as nothing else asks already."""
         now = self._unix_us()
         asked = {run.key for run in self._runs.values()}
-        for one in self.effects.in_doubt(now)[:GROUP]:
+        for one in [one for one in self.effects.in_doubt(now) if one.server][:GROUP]:
             if one.key in asked or one.key in self._doubts:
                 continue
             self._doubts[one.key] = []
--- a/sagetrestle/recovery/effects.py
+++ b/sagetrestle/recovery/effects.py
@@ -3,6 +3,11 @@
 The rule of the journal is write-ahead: an intent is durable before its request is sent, an outcome before its answer
 is given. So after a death a key with an outcome has its answer, a key with none never left this process, and a key
 with an intent alone is in doubt: it is asked after at the server that the intent names before anything else.
+
+An entry that can not be read stands in its place as ``LOST``. What it said is not known, so its key is in doubt with
+nobody to ask: a server that never ran it proves nothing, as the lost entry may have named another. Where the key is
+not known either, that holds for every key without a known end, until a window after the loss was found. An intact
+entry behind it counts again: who wrote it knew what was lost.
 """
 
 from __future__ import annotations
@@ -20,6 +25,7 @@
     OUTCOME = "outcome"  # ran, with this result
     NEVER = "never"  # proven never to have run; the key is free
     FAILED = "failed"  # ran, and failed: a repeat gets the failure
+    LOST = "lost"  # an entry that can not be read stood here; without a key it may have been any key's
 
 
 class Entry(NamedTuple):
@@ -48,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Effect:
-    """What is known of one key."""
+    """What is known of one key; without a ``server`` there is nobody who could settle a doubt."""
 
     key: str
     standing: Standing
@@ -73,66 +79,95 @@
     (Standing.IN_DOUBT, Kind.NEVER): Standing.FREE,
     (Standing.DONE, Kind.OUTCOME): Standing.DONE,  # written again after a death between write and answer
     (Standing.FAILED, Kind.FAILED): Standing.FAILED,
+    (Standing.FREE, Kind.LOST): Standing.IN_DOUBT,
+    (Standing.IN_DOUBT, Kind.LOST): Standing.IN_DOUBT,
+    (Standing.DONE, Kind.LOST): Standing.DONE,  # nothing of it can run again within its window
+    (Standing.FAILED, Kind.LOST): Standing.FAILED,
 }
 
 
+SETTLED = (Standing.DONE, Standing.FAILED)
+
+
 class EffectError(ValueError):
     """An entry that can not follow; the text names the key."""
 
 
 @dataclass
 class EffectTable:
-    """All keys within their window; ``window_us`` is how long a key may come again."""
+    """All keys within their window; ``window_us`` is how long a key may come again.
+
+    ``lost_us`` is when an entry was found lost whose key is not known, if one was.
+    """
 
     window_us: int
     effects: dict[str, Effect] = field(default_factory=dict)
+    lost_us: int | None = None
 
     def standing(self, key: str, now_us: int) -> Standing:
         """Return how a key stands now."""
-        effect = self.effects.get(key)
-        if effect is None or self._over(effect, now_us):
-            return Standing.FREE
-        return effect.standing
+        effect = self.get(key, now_us)
+        return effect.standing if effect is not None else Standing.FREE
 
     def get(self, key: str, now_us: int) -> Effect | None:
         """Return what is known of a key within its window."""
         effect = self.effects.get(key)
-        return None if effect is None or self._over(effect, now_us) else effect
+        if effect is not None and not self._over(effect.at_us, now_us):
+            return effect if effect.standing is not Standing.FREE else None
+        if self.lost_us is not None and not self._over(self.lost_us, now_us):
+            return Effect(key, Standing.IN_DOUBT, self.lost_us)
+        return None
 
     def take(self, entry: Entry) -> Effect | None:
         """Take an entry in, as it is written or as it is read again. Raises EffectError."""
-        old = self.effects.get(entry.key)
-        if old is not None and self._over(old, entry.at_us):
-            old = None
+        if entry.kind is Kind.LOST and not entry.key:
+            self._lose_any(entry.at_us)
+            return None
+        old = self.get(entry.key, entry.at_us)
         standing = FOLLOWS.get((old.standing if old else Standing.FREE, entry.kind))
         if standing is None:
             raise EffectError(f"key {entry.key!r}: {entry.kind.value} can not follow "
                               f"{old.standing.value if old else 'nothing'}")
-        if entry.kind is Kind.INTENT and old is not None and (old.server, old.boot) != (entry.server, entry.boot):
+        if entry.kind is Kind.LOST:
+            ended = old is not None and old.standing in SETTLED
+            effect = old if ended and old is not None else Effect(entry.key, Standing.IN_DOUBT, entry.at_us)
+            self.effects[entry.key] = effect
+            return effect
+        digest = entry.digest or (old.digest if old else b"")
+        if old is not None and old.standing is Standing.IN_DOUBT and not old.server:
+            old = None  # it was lost what came before; who wrote this entry knew it
+        if entry.kind is Kind.INTENT and old is not None and old.standing is Standing.IN_DOUBT \
+                and (old.server, old.boot) != (entry.server, entry.boot):
             raise EffectError(f"key {entry.key!r}: may have run at {old.server}, and is meant for {entry.server}")
-        if standing is Standing.FREE:
-            self.effects.pop(entry.key, None)
+        if standing is Standing.FREE and self.lost_us is None:
+            self.effects.pop(entry.key, None)  # else it is kept, as the one key of the unnamed that is free
             return None
         first = old.at_us if old is not None else entry.at_us
         server, boot = (entry.server, entry.boot) if entry.kind is Kind.INTENT else (
             (old.server, old.boot) if old else ("", 0))
-        digest = entry.digest or (old.digest if old else b"")
         effect = Effect(entry.key, standing, first, server, boot, digest, entry.result)
         self.effects[entry.key] = effect
         return effect
 
+    def _lose_any(self, at_us: int) -> None:
+        """Take that an entry of any key was lost: only keys that came to an end are as they were."""
+        self.lost_us = max(at_us, self.lost_us or 0)
+        self.effects = {key: one for key, one in self.effects.items() if one.standing in SETTLED}
+
     def in_doubt(self, now_us: int) -> list[Effect]:
-        """Return what has to be asked after, the oldest first."""
+        """Return what is in doubt by name, the oldest first."""
         found = [one for one in self.effects.values()
-                 if one.standing is Standing.IN_DOUBT and not self._over(one, now_us)]
+                 if one.standing is Standing.IN_DOUBT and not self._over(one.at_us, now_us)]
         return sorted(found, key=lambda one: one.at_us)
 
     def living(self, now_us: int) -> list[Entry]:
         """Return entries that say the same as all so far, for a snapshot: none for keys past their window."""
-        kinds = {Standing.DONE: Kind.OUTCOME, Standing.FAILED: Kind.FAILED}
+        kinds = {Standing.DONE: Kind.OUTCOME, Standing.FAILED: Kind.FAILED, Standing.FREE: Kind.NEVER}
         entries = []
+        if self.lost_us is not None and not self._over(self.lost_us, now_us):
+            entries.append(Entry(Kind.LOST, "", self.lost_us))
         for one in self.effects.values():
-            if self._over(one, now_us):
+            if self._over(one.at_us, now_us):
                 continue
             entries.append(Entry(Kind.INTENT, one.key, one.at_us, one.server, one.boot, one.digest))
             if one.standing in kinds:
@@ -141,13 +176,15 @@
 
     def sweep(self, now_us: int) -> int:
         """Forget keys past their window; returns how many."""
-        gone = [key for key, one in self.effects.items() if self._over(one, now_us)]
+        gone = [key for key, one in self.effects.items() if self._over(one.at_us, now_us)]
         for key in gone:
             del self.effects[key]
+        if self.lost_us is not None and self._over(self.lost_us, now_us):
+            self.lost_us = None
         return len(gone)
 
-    def _over(self, effect: Effect, now_us: int) -> bool:
-        return now_us > effect.at_us + self.window_us
+    def _over(self, at_us: int, now_us: int) -> bool:
+        return now_us > at_us + self.window_us
 
 
 def replay(entries: Iterable[Entry], window_us: int) -> tuple[EffectTable, list[str]]:
--- a/sagetrestle/store/journal.py
+++ b/sagetrestle/store/journal.py
@@ -1,9 +1,11 @@
 """A durable journal of effects on SQLite: groups of entries in one transaction each, checksummed, bounded.
 
 SQLite's write-ahead log with ``synchronous=FULL`` makes a commit durable and a torn tail vanish whole. Each entry has
-a checksum of its own as well, over its number and content: a block that went bad on disk is found as it is read, and
-its key is told, so that it can be held to be in doubt. Compaction puts a snapshot of the living keys in place of all
-entries, in one transaction. The file is bounded by pages: a full journal says so, and what it holds stays readable.
+a checksum of its own as well, over its number and content, and its key has another: a block that went bad on disk is
+found as it is read, and an entry that says so stands in its place, with its key where that one is sound. Numbers run
+on without a gap, so an entry that is missing within is found too. Compaction puts a snapshot of the living keys in
+place of all entries, in one transaction. The file is bounded by pages: a full journal says so, and what it holds stays
+readable.
 
 Errors: JournalFull where there is no room, JournalError for all else that the disk does.
 """
@@ -21,7 +23,7 @@
 from sagetrestle.recovery.effects import Entry, Kind
 
 PAGE = 4096
-FORMAT = 1
+FORMAT = 2  # 1 had no checksum of the key alone
 POINTS = ("begin", "written", "committed", "compact-begin", "compact-deleted", "compact-written", "compact-committed")
 
 
@@ -34,7 +36,7 @@
 
 
 class Read(NamedTuple):
-    """What a journal held: its entries in order, and the keys of entries that are spoilt ("" where unknown)."""
+    """What a journal held: its entries in order, and the keys of those that can not be read ("" where unknown)."""
 
     entries: list[Entry]
     spoilt: list[str]
@@ -50,16 +52,20 @@
         self._at = at or (lambda point: None)
         try:
             self._db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+            version = self._db.execute("PRAGMA user_version").fetchone()[0]
+            if version not in (0, 1, FORMAT):
+                raise JournalError(f"{path}: format {version} is not {FORMAT}")
             self._db.execute(f"PRAGMA page_size={PAGE}")
             self._db.execute("PRAGMA journal_mode=WAL")
             self._db.execute("PRAGMA synchronous=FULL")
             self._db.execute(f"PRAGMA max_page_count={max(16, most_bytes // PAGE)}")
-            self._db.execute("CREATE TABLE IF NOT EXISTS entries"
-                             "(seq INTEGER PRIMARY KEY, key TEXT NOT NULL, data BLOB NOT NULL, sum INTEGER NOT NULL)")
-            version = self._db.execute("PRAGMA user_version").fetchone()[0]
-            if version not in (0, FORMAT):
-                raise JournalError(f"{path}: format {version} is not {FORMAT}")
+            self._db.execute("BEGIN IMMEDIATE")
+            self._db.execute("CREATE TABLE IF NOT EXISTS entries(seq INTEGER PRIMARY KEY, key TEXT NOT NULL, "
+                             "data BLOB NOT NULL, sum INTEGER NOT NULL, key_sum INTEGER)")
+            if version == 1:
+                self._db.execute("ALTER TABLE entries ADD COLUMN key_sum INTEGER")
             self._db.execute(f"PRAGMA user_version={FORMAT}")
+            self._db.execute("COMMIT")
         except sqlite3.Error as error:
             raise _told(error) from None
 
@@ -79,24 +85,35 @@
 
     def _insert(self, rows: list[tuple[str, bytes]]) -> None:
         first = self._db.execute("SELECT COALESCE(MAX(seq), 0) FROM entries").fetchone()[0] + 1
-        self._db.executemany("INSERT INTO entries(seq, key, data, sum) VALUES(?, ?, ?, ?)", (
-            (seq, key, data, _sum(seq, key, data)) for seq, (key, data) in enumerate(rows, start=first)))
+        self._db.executemany("INSERT INTO entries(seq, key, data, sum, key_sum) VALUES(?, ?, ?, ?, ?)", (
+            (seq, key, data, _sum(seq, key.encode(), data), _signed(key.encode()))
+            for seq, (key, data) in enumerate(rows, start=first)))
 
-    def read(self) -> Read:
-        """Return all that is there, in order."""
+    def read(self, now_us: int) -> Read:
+        """Return all that is there, in order; ``now_us`` (Unix) is when what is lost counts as found."""
         entries: list[Entry] = []
         spoilt: list[str] = []
+
+        def lose(key: str) -> None:
+            spoilt.append(key)
+            entries.append(Entry(Kind.LOST, key, now_us))
         try:
-            for seq, key, data, total in self._db.execute("SELECT seq, key, data, sum FROM entries ORDER BY seq"):
+            last = 0
+            for seq, key, data, total, key_sum in self._db.execute(
+                    "SELECT seq, COALESCE(CAST(key AS BLOB), x''), COALESCE(CAST(data AS BLOB), x''), sum, key_sum "
+                    "FROM entries ORDER BY seq"):
+                if seq != last + 1:
+                    lose("")
+                last = seq
                 if total != _sum(seq, key, data):
-                    spoilt.append(key if isinstance(key, str) else "")
+                    lose(key.decode(errors="replace") if key_sum == _signed(key) else "")
                     continue
-                entries.append(_decode(data))
-        except (sqlite3.Error, msgspec.DecodeError, ValueError) as error:
-            if not isinstance(error, sqlite3.Error):
-                spoilt.append("")
-            else:
-                raise _told(error) from None
+                try:
+                    entries.append(_decode(data))
+                except (msgspec.MsgspecError, ValueError):
+                    lose(key.decode(errors="replace"))
+        except sqlite3.Error as error:
+            raise _told(error) from None
         return Read(entries, spoilt)
 
     def compact(self, living: Iterable[Entry]) -> None:
@@ -170,7 +187,12 @@
     return Entry(Kind(row.kind), row.key, row.at_us, row.server, row.boot, row.digest, row.result)
 
 
-def _sum(seq: int, key: str, data: bytes) -> int:
-    """Return an entry's checksum as SQLite holds it: 64 bits, signed."""
-    value = xxhash.xxh3_64_intdigest(b"%d\0%s\0%s" % (seq, str(key).encode(), bytes(data)))
+def _sum(seq: int, key: bytes, data: bytes) -> int:
+    """Return an entry's checksum."""
+    return _signed(b"%d\0%s\0%s" % (seq, key, data))
+
+
+def _signed(data: bytes) -> int:
+    """Return a checksum as SQLite holds it: 64 bits, signed."""
+    value = xxhash.xxh3_64_intdigest(data)
     return value - (1 << 64) if value >= 1 << 63 else value
--- a/tests/net/test_translate.py
+++ b/tests/net/test_translate.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 import signal
+import sqlite3
 import sys
 import tempfile
 import unittest
@@ -234,6 +235,27 @@
         self.assertEqual(first.partition(b"\r\n\r\n")[2], (await self.charge("K")).partition(b"\r\n\r\n")[2])
         self.assertEqual([1], list(self.effects().values()))
 
+    async def test_a_charge_whose_intent_went_bad_on_disk_does_not_run_at_another_server(self):
+        """Its servers' names change hands meanwhile, so that only the journal knows that it ran."""
+        spoils = {"UPDATE entries SET data = zeroblob(9)": "is in doubt",
+                  "UPDATE entries SET key = 'x', data = zeroblob(9)": "unknown keys are lost",
+                  "DELETE FROM entries WHERE seq = 1": "unknown keys are lost"}
+        for number, (statement, said) in enumerate(spoils.items()):
+            with self.subTest(statement):
+                journal, key = f"b{number}.db", f"B{number}"
+                await self.begin(journal=journal)
+                await self.charge(key)
+                self.process.kill()
+                await self.process.wait()
+                with sqlite3.connect(self.home / journal) as db:
+                    db.execute(statement)
+                self.servers.reverse()
+                await self.begin(journal=journal)
+                for _ in range(3):
+                    self.assertIn(status_of(await self.ask("paid-check", key=key)), (200, 502))
+                self.assertIn(said, "".join(self.lines))
+        self.assertEqual({1}, set(self.effects().values()))
+
     async def test_a_full_journal_refuses_charges_and_safe_work_goes_on(self):
         self.process.kill()
         await self.process.wait()
--- a/tests/recovery/test_effects.py
+++ b/tests/recovery/test_effects.py
@@ -50,7 +50,8 @@
         table, faults = replay([Entry(Kind.OUTCOME, "K", 0, result=b"r")], 10 * S)
         self.assertEqual((Standing.IN_DOUBT, 1), (table.standing("K", S), len(faults)))
 
-    @given(some.lists(some.tuples(some.sampled_from(list(Kind)), some.sampled_from("AB"),
+    @given(some.lists(some.tuples(some.sampled_from(list(Kind)),
+                                  some.sampled_from(["A", "B", ""]),
                                   some.sampled_from(["n1", "n2"]), some.integers(0, 2 * S)), max_size=40))
     def test_a_snapshot_says_the_same_as_all_entries(self, steps):
         table, now = EffectTable(10 * S), 0
--- a/tests/store/test_journal.py
+++ b/tests/store/test_journal.py
@@ -9,7 +9,7 @@
 
 from sagetrestle.lab.scorer import ROOT
 from sagetrestle.recovery.effects import Entry, Kind, Standing, replay
-from sagetrestle.store.journal import POINTS, Journal, JournalError, JournalFull
+from sagetrestle.store.journal import _ENCODER, POINTS, Journal, JournalError, JournalFull
 
 S = 1_000_000
 
@@ -39,7 +39,7 @@
         journal.append([outcome(1)])
         journal.close()
         again = self.open()
-        self.assertEqual(([intent(1), intent(2), outcome(1)], []), again.read())
+        self.assertEqual(([intent(1), intent(2), outcome(1)], []), again.read(0))
         self.assertEqual([], again.check())
 
     def test_a_full_journal_says_so_and_keeps_what_it_has(self):
@@ -49,7 +49,7 @@
             for number in range(10_000):
                 journal.append([intent(number, result=b"x" * 500)])
                 kept += 1
-        self.assertEqual(kept, len(journal.read().entries))
+        self.assertEqual(kept, len(journal.read(0).entries))
         journal.compact([intent(1)])
         journal.append([intent(2)])
         self.assertEqual(2, journal.count())
@@ -60,8 +60,88 @@
         journal.close()
         with sqlite3.connect(self.path) as db:
             db.execute("UPDATE entries SET data = zeroblob(length(data)) WHERE seq = 2")
-        got = self.open().read()
-        self.assertEqual((["K2"], [intent(1), intent(3)]), (got.spoilt, got.entries))
+        got = self.open().read(5)
+        self.assertEqual((["K2"], [intent(1), Entry(Kind.LOST, "K2", 5), intent(3)]), (got.spoilt, got.entries))
+
+    def spoil(self, statement):
+        """Change the closed file below the journal, and return how keys stand after."""
+        with sqlite3.connect(self.path) as db:
+            db.execute(statement)
+        read = self.open().read(5)
+        return replay(read.entries, 100)[0], read
+
+    def test_a_spoilt_intent_leaves_its_key_in_doubt_with_nobody_to_ask(self):
+        journal = self.open()
+        journal.append([intent(1), intent(2), intent(3), intent(3, kind=Kind.NEVER), intent(3, server="n2")])
+        journal.close()
+        table, read = self.spoil("UPDATE entries SET data = zeroblob(length(data)) WHERE seq IN (2, 4, 5)")
+        self.assertEqual(["K2", "K3", "K3"], read.spoilt)
+        for key in ("K2", "K3"):  # n1 could say that it never ran K3, and n2 has
+            effect = table.get(key, 6)
+            self.assertEqual((Standing.IN_DOUBT, "", 5), (effect.standing, effect.server, effect.at_us))
+        self.assertEqual("n1", table.get("K1", 6).server)
+        self.assertIs(Standing.FREE, table.standing("K9", 6))
+
+    def test_an_entry_that_can_not_be_decoded_loses_none_after_it(self):
+        journal = self.open()
+        journal.append([intent(1)])
+        for key, data in (("K2", b"\xc1"), ("K3", _ENCODER.encode(["later", "K3", 0, "", 0, b"", b""]))):
+            journal._db.execute("BEGIN")
+            journal._insert([(key, data)])
+            journal._db.execute("COMMIT")
+        journal.append([intent(4), outcome(1)])
+        read = journal.read(5)
+        table, _ = replay(read.entries, 100)
+        self.assertEqual(["K2", "K3"], read.spoilt)
+        self.assertEqual([Standing.DONE, Standing.IN_DOUBT, Standing.IN_DOUBT, Standing.IN_DOUBT],
+                         [table.standing(f"K{number}", 6) for number in (1, 2, 3, 4)])
+        self.assertEqual(["", "", "n1"], [table.get(f"K{number}", 6).server for number in (2, 3, 4)])
+
+    def test_where_a_spoilt_key_is_not_known_every_key_is_in_doubt_for_a_window(self):
+        spoils = ("UPDATE entries SET key = 'K7', data = zeroblob(9) WHERE seq = 3",
+                  "UPDATE entries SET key = CAST(x'ff00' AS TEXT) WHERE seq = 3",
+                  "UPDATE entries SET key = 7, data = 123456789012 WHERE seq = 3",
+                  "UPDATE entries SET key_sum = 1, sum = 1 WHERE seq = 3",
+                  "DELETE FROM entries WHERE seq = 3")
+        for number, statement in enumerate(spoils):
+            with self.subTest(statement):
+                self.path = self.path.with_name(f"j{number}")
+                journal = self.open()
+                journal.append([intent(1), intent(2), intent(3)])
+                journal.append([outcome(1), intent(4)])
+                journal.close()
+                table, read = self.spoil(statement)
+                self.assertEqual([""], read.spoilt)
+                # K1's outcome came after the loss; K2 may have gone on elsewhere; nothing is known of K3 and K9.
+                self.assertEqual([Standing.DONE] + 4 * [Standing.IN_DOUBT],
+                                 [table.standing(f"K{one}", 50) for one in (1, 2, 3, 4, 9)])
+                self.assertIs(Standing.IN_DOUBT, table.standing("K9", 105))
+                self.assertEqual(["", "", "n1"], [table.get(f"K{one}", 6).server for one in (2, 9, 4)])
+                self.assertIs(Standing.FREE, table.standing("K9", 106))
+
+    def test_what_was_lost_stays_known_through_a_snapshot_and_a_second_start(self):
+        journal = self.open()
+        journal.append([intent(1), intent(2), outcome(1)])
+        journal.close()
+        table, _ = self.spoil("UPDATE entries SET key = 'K7', data = zeroblob(9) WHERE seq = 2")
+        journal = self.open()
+        journal.compact(table.living(6))
+        again, read = replay(journal.read(50).entries, 100)[0], journal.read(50)
+        self.assertEqual([], read.spoilt)
+        for now in (50, 105, 106):
+            for key in ("K1", "K2", "K9"):
+                self.assertEqual(table.get(key, now), again.get(key, now))
+
+    def test_a_journal_of_the_format_before_is_taken_up_and_its_spoilt_keys_count_as_unknown(self):
+        journal = self.open()
+        journal.append([intent(1), intent(2)])
+        journal._db.executescript("ALTER TABLE entries DROP COLUMN key_sum; PRAGMA user_version=1")
+        journal.close()
+        table, read = self.spoil("UPDATE entries SET data = zeroblob(9) WHERE seq = 2")
+        self.assertEqual(([""], Standing.IN_DOUBT), (read.spoilt, table.standing("K9", 6)))
+        journal = self.open()
+        journal.append([outcome(1)])
+        self.assertEqual(outcome(1), journal.read(5).entries[-1])
 
     def test_a_torn_tail_loses_no_group_that_was_committed_before(self):
         journal = self.open()
@@ -76,7 +156,7 @@
             Path(f"{copy}-wal").write_bytes(torn[:size])
             Path(f"{copy}-shm").unlink(missing_ok=True)
             again = Journal(copy)
-            self.assertIn(len(again.read().entries), (1, 3))
+            self.assertIn(len(again.read(0).entries), (1, 3))
             again.close()
             copy.unlink()
 
@@ -114,7 +194,7 @@
     journal.append([outcome(number)])
     print("outcome", number, flush=True)
 from sagetrestle.recovery.effects import replay
-journal.compact(replay(journal.read().entries, 10**9)[0].living(5))
+journal.compact(replay(journal.read(0).entries, 10**9)[0].living(5))
 print("compacted", flush=True)
 journal.append([outcome(10)])
 print("outcome", 10, flush=True)
@@ -130,7 +210,7 @@
                                      capture_output=True, text=True)
                 self.assertEqual(9 if at <= points else 0, got.returncode, got.stderr)
                 journal = Journal(path)
-                read = journal.read()
+                read = journal.read(0)
                 journal.close()
                 table, faults = replay(read.entries, 10**9)
                 self.assertEqual(([], []), (faults, read.spoilt))
