--- a/sagetrestle/lab/discovery.py
+++ b/sagetrestle/lab/discovery.py
@@ -46,7 +46,7 @@
         host = None
         try:
             fleet.dns.faults.loss = loss
-            host, chooser = await _product(fleet, push, seed)
+            host, chooser = await product(fleet, push, seed)
             sender = RoutedSender(chooser, fleet, seed)
             report = DrainReport()
             planned = plan(CLASSES, rate, count * every_s + 4.0, ["t"], ["f"], seed, retries=0.2)
@@ -88,7 +88,8 @@
     return len(ran) - len(set(ran))
 
 
-async def _product(fleet: Fleet, push: bool, seed: int) -> tuple[MembershipHost, RouterChooser]:
+async def product(fleet: Fleet, push: bool, seed: int) -> tuple[MembershipHost, RouterChooser]:
+    """Return the product's view and router on a fleet, once it knows all members."""
     file = read_discovery(fleet.toml("browse", push=push).encode())
     assert file is not None
     router = Router(seed=seed)
@@ -127,7 +128,7 @@
         try:
             chooser: Chooser
             if kind == "router":
-                host, chooser = await _product(fleet, True, seed)
+                host, chooser = await product(fleet, True, seed)
             else:
                 chooser = ListChooser(lambda: _listed(fleet), 10.0 if kind == "ttl" else None, seed)
             sender = RoutedSender(chooser, fleet, seed)
--- a/sagetrestle/lab/fleet.py
+++ b/sagetrestle/lab/fleet.py
@@ -58,13 +58,16 @@
         kernel = EmulatedKernel(self.place.cores, {one.name: one.work_s for one in self.place.classes},
                                 seed=len(self.kernels), spread=0.3)
         self.kernels.append(kernel)
-        publish = self.toml("publish", key_name=KEY_NAME, key_file=f"{self.folder}/tsig", lease_s=self._lease_s)
-        scorer = ScorerProcess(home, kernel, self.place.settings(), {"discovery.toml": publish}, name)
+        scorer = ScorerProcess(home, kernel, self.place.settings(), {"discovery.toml": self.publishing()}, name)
         await scorer.start(fronts=1)
         self.scorers[name] = scorer
         self.down.discard(name)
         return scorer
 
+    def publishing(self) -> str:
+        """Return the operators' file by which a scorer registers."""
+        return self.toml("publish", key_name=KEY_NAME, key_file=f"{self.folder}/tsig", lease_s=self._lease_s)
+
     async def drain(self, name: str) -> None:
         """Give a scorer the notice to leave, and wait until it has gone."""
         self.down.add(name)
--- a/sagetrestle/lab/kernel.py
+++ b/sagetrestle/lab/kernel.py
@@ -56,19 +56,28 @@
         self.preempted = asyncio.Event()
         self.serial, self.busy_s = 0, 0.0
         self._writer: asyncio.StreamWriter | None = None
+        self._working: asyncio.Task[None] | None = None
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one link; a newer one takes its place."""
+        """Serve one link; a newer one takes its place. Runs go on without one."""
         self._writer = writer
-        work = asyncio.create_task(self._work())
+        if self._working is None:
+            self._working = asyncio.create_task(self._work())
         try:
             while line := await reader.readline():
                 self._take(json.loads(line))
         except ConnectionError:
             pass  # a scorer that was killed
-        work.cancel()
         writer.close()
 
+    def end(self) -> None:
+        """Lose all that runs, and do nothing more."""
+        self._runs.clear()
+        if self._working is not None:
+            self._working.cancel()
+        if self._writer is not None:
+            self._writer.transport.abort()
+
     def _take(self, got: dict[str, str]) -> None:
         call = got.get("call", "")
         run = self._runs.get(call)
--- /dev/null
+++ b/sagetrestle/lab/processes.py
@@ -0,0 +1,160 @@
+"""The rig: real processes of the program, links with faults between them, and callers who see them each their own way.
+
+A rig is a fleet whose machines outlive their scorers: a kernel goes on with its runs when its scorer is killed, unless
+it is lost with it. What callers ask and what kernels run becomes one history.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from sagetrestle.lab.discovery import product
+from sagetrestle.lab.faults import Links
+from sagetrestle.lab.fleet import Fleet
+from sagetrestle.lab.history import History, Ran
+from sagetrestle.lab.kernel import EmulatedKernel, listen
+from sagetrestle.lab.load import Outcome, Planned
+from sagetrestle.lab.place import HERE, Place
+from sagetrestle.lab.routed import RoutedSender, RouterChooser
+from sagetrestle.lab.scorer import ROOT, ScorerProcess
+from sagetrestle.net.program.discovery import MembershipHost
+
+GIVE_UP_S = 8.0  # how long a caller goes on with a charge, from its first try
+PAUSE_S = 0.25  # between its tries
+
+
+@dataclass
+class Machine:
+    """What a scorer runs on."""
+
+    kernel: EmulatedKernel
+    server: asyncio.Server
+    port: int
+
+
+@dataclass
+class Caller:
+    """A front end: a view of its own, a router on it, and connections to the members."""
+
+    name: str
+    host: MembershipHost
+    router: RouterChooser
+    sender: RoutedSender
+
+
+class Rig(Fleet):
+    """Scorers ``n0``, ``n1``, ..., callers ``f0``, ``f1``, ..., and what can be done to them.
+
+    ``root`` is the tree of the program that they run: an earlier revision's is a baseline.
+    """
+
+    def __init__(self, folder: Path, size: int, place: Place, fronts: int = 2, seed: int = 1,
+                 root: Path = ROOT) -> None:
+        super().__init__(folder, size, place, seed=seed)
+        self._fronts, self._root = fronts, root
+        self.machines: dict[str, Machine] = {}
+        self.links = Links(seed)
+        self.callers: list[Caller] = []
+        self.history = History()
+        self._lost: list[tuple[str, EmulatedKernel]] = []
+
+    async def start(self) -> Rig:
+        """Start all, and wait until each caller knows all members."""
+        await super().start()
+        for at in range(self._fronts):
+            host, chooser = await product(self, True, self._seed + at)
+            sender = RoutedSender(chooser, self, self._seed + at, self.history, f"f{at}")
+            self.callers.append(Caller(f"f{at}", host, chooser, sender))
+        return self
+
+    # Processes
+
+    async def begin(self, name: str, fresh: bool = False) -> ScorerProcess:
+        """Start a scorer, on the machine that it had unless that is to be a ``fresh`` one."""
+        home = self.folder / name
+        home.mkdir(exist_ok=True)
+        if fresh and name in self.machines:
+            self.lose(name)
+        if name not in self.machines:
+            kernel = EmulatedKernel(self.place.cores, {one.name: one.work_s for one in self.place.classes},
+                                    seed=self._seed + len(self.kernels), spread=0.3)
+            self.kernels.append(kernel)
+            self.machines[name] = Machine(kernel, *await listen(kernel.serve))
+        scorer = self._scorer(name, home)
+        await scorer.start(fronts=1)
+        self.scorers[name] = scorer
+        self.down.discard(name)
+        return scorer
+
+    def _scorer(self, name: str, home: Path) -> ScorerProcess:
+        machine = self.machines[name]
+        publish = self.publishing()
+        return ScorerProcess(home, machine.kernel, self.place.settings(), {"discovery.toml": publish}, name,
+                             self._root, {"kernel": f"{HERE}:{machine.port}"})
+
+    def lose(self, name: str) -> None:
+        """Lose a machine: its kernel ends in the middle of what it runs, and is never heard of again."""
+        machine = self.machines.pop(name)
+        machine.server.close()
+        machine.kernel.end()
+        self._lost.append((name, machine.kernel))
+
+    def stop(self, name: str) -> None:
+        """Stop a process in the middle of whatever it does; it loses nothing and knows nothing of it."""
+        self.silence(name)
+
+    def go_on(self, name: str) -> None:
+        """Let a stopped process go on."""
+        self.down.discard(name)
+        with contextlib.suppress(ProcessLookupError):
+            self.scorers[name].process.send_signal(signal.SIGCONT)
+
+    async def close(self) -> None:
+        """End everything."""
+        for one in self.callers:
+            one.host.stop()
+        for name in self.scorers:
+            self.go_on(name)
+        await super().close()
+        self.links.close()
+        for name in list(self.machines):
+            self.lose(name)
+
+    # Work
+
+    async def charge(self, one: Planned, first: int = 0, give_up_s: float = GIVE_UP_S) -> Outcome:
+        """Ask for a charge as callers do: again through the next front end, until it is served or given up."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + give_up_s
+        number, outcome = first, Outcome("lost")
+        while loop.time() < until:
+            sender = self.callers[number % len(self.callers)].sender
+            outcome = await sender.send(one if number == first else one._replace(retry=True))
+            if outcome.how == "served":
+                break
+            number += 1
+            await asyncio.sleep(PAUSE_S)
+        return outcome
+
+    def finished(self) -> History:
+        """Return the history with what ran on all machines there were."""
+        kernels = [*((name, one.kernel) for name, one in self.machines.items()), *self._lost]
+        self.history.ran = [Ran(one.body.decode(), one.call, one.at, name) for name, kernel in kernels
+                            for one in kernel.starts if one.body.startswith(b"charge")]
+        return self.history
+
+
+def charge(key: str, cls: str = "paid-check") -> Planned:
+    """Return a charge to ask for."""
+    return Planned(0.0, 0, cls, "t", "f", f"charge {key}".encode(), key)
+
+
+def toml_of(rows: dict[str, Any]) -> str:
+    """Return plain fields as TOML."""
+    return "".join(f"{name} = {str(value).lower() if isinstance(value, bool) else repr(value)}\n".replace("'", '"')
+                   for name, value in rows.items())
--- a/sagetrestle/lab/routed.py
+++ b/sagetrestle/lab/routed.py
@@ -12,6 +12,7 @@
 
 from sagetrestle.lab.clients import FrontEnd
 from sagetrestle.lab.fleet import Fleet
+from sagetrestle.lab.history import Asked, History
 from sagetrestle.lab.load import Outcome, Planned
 from sagetrestle.membership.core import Heard, Missed, Refused
 from sagetrestle.membership.values import Endpoint
@@ -95,8 +96,9 @@
 class RoutedSender:
     """Sends planned requests to members over Thrift, one connection a member, as a front end does."""
 
-    def __init__(self, chooser: Chooser, fleet: Fleet, seed: int = 1) -> None:
-        self._chooser, self._fleet = chooser, fleet
+    def __init__(self, chooser: Chooser, fleet: Fleet, seed: int = 1, history: History | None = None,
+                 name: str = "front") -> None:
+        self._chooser, self._fleet, self._history, self._name = chooser, fleet, history, name
         self._ids = random.Random(seed)
         self._fronts: dict[Endpoint, FrontEnd] = {}
         self._opening: dict[Endpoint, asyncio.Lock] = {}
@@ -114,7 +116,11 @@
             if number == 0 and not one.retry:
                 self.sent.last_new[name] = time.monotonic()
             self.sent.to_down += name in self._fleet.down
-            how, end = await self._attempt(one, endpoint, retry=one.retry or number > 0)
+            began = time.monotonic()
+            how, end, result = await self._attempt(one, endpoint, retry=one.retry or number > 0)
+            if one.key is not None and self._history is not None:
+                self._history.asked.append(
+                    Asked(one.body.decode(), began, time.monotonic(), self._name, how, result))
             self.sent.attempts[how] += 1
             self._chooser.ended(name, one, end, how)
             outcome = Outcome(how if how in ("served", "refused", "failed") else "failed")
@@ -123,25 +129,26 @@
             tried += (name,)
         return outcome
 
-    async def _attempt(self, one: Planned, endpoint: Endpoint, retry: bool) -> tuple[str, End]:
+    async def _attempt(self, one: Planned, endpoint: Endpoint, retry: bool) -> tuple[str, End, bytes]:
         try:
             front = await self._front(endpoint)
         except TimeoutError:
-            return "silent", End.NEVER_RAN
+            return "silent", End.NEVER_RAN, b""
         except OSError:
-            return "no one", End.NEVER_RAN
+            return "no one", End.NEVER_RAN, b""
         patience = 5.0 if one.key else ATTEMPT_S
         leaving = front.leaving
         try:
             number = await front.ask(f"{self._ids.getrandbits(64):016x}", one.cls, one.body, one.key,
                                      patience_s=patience, retry=retry)
         except TimeoutError:
-            return "silent", End.MAY_HAVE_RUN
+            return "silent", End.MAY_HAVE_RUN, b""
         except OSError:
-            return "broken", End.MAY_HAVE_RUN
+            return "broken", End.MAY_HAVE_RUN, b""
         how = front.outcome(number)
         end = {"served": End.SERVED, "refused": End.NEVER_RAN, "failed": End.MAY_HAVE_RUN}[how]
-        return ("leaving" if how == "refused" and (leaving or front.leaving) else how), end
+        result = front.answers[number][0].fields[0][1][1][1] if how == "served" else b""
+        return ("leaving" if how == "refused" and (leaving or front.leaving) else how), end, result
 
     async def _front(self, endpoint: Endpoint) -> FrontEnd:
         """Return the connection to a member; one on which it said that it leaves takes nothing new."""
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Several processes of the program, with faults between them."""
