Put one gate before a keyed run, with judges in order and one phase for all that wait

Need: window and pair were asked by an if of their own in four places, and a third for ownership would have hidden the rule; the pair's handlers went into a table of the whole process. Change: routing/gate.py with three words (start, wait, over); the pair is its first judge; handlers are given to the loop as it is made. No change of behaviour.

--- a/sagetrestle/net/program/loop.py
+++ b/sagetrestle/net/program/loop.py
@@ -8,7 +8,7 @@
 from sagetrestle.net.program.clock import Clock
 from sagetrestle.net.routing.effects import Effect
 from sagetrestle.net.routing.inputs import Input
-from sagetrestle.net.routing.reducer import next_due, reduce
+from sagetrestle.net.routing.reducer import HANDLERS, Handlers, next_due, reduce
 from sagetrestle.net.routing.state import State
 
 GAP_S = 0.002
@@ -23,7 +23,8 @@
     """
 
     def __init__(self, reactor: Any, clock: Clock, state: State, perform: Callable[[Effect], None],
-                 failed: Callable[[str], None]) -> None:
+                 failed: Callable[[str], None], handlers: Handlers = HANDLERS) -> None:
+        self._handlers = handlers
         self._reactor, self._clock, self.state = reactor, clock, state
         self._free_at = 0.0
         self._perform, self._failed = perform, failed
@@ -51,7 +52,7 @@
         self.now = self._clock.read()
         self._free_at = self._reactor.seconds() + GAP_S
         try:
-            effects = reduce(self.state, self.now, items, self._clock.ahead)
+            effects = reduce(self.state, self.now, items, self._clock.ahead, self._handlers)
         except Exception as error:  # one bad turn must not end the process and all its requests
             self._failed(f"turn failed: {error!r}")
             effects = []
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -21,7 +21,8 @@
 from sagetrestle.net.routing import effects as fx
 from sagetrestle.net.routing.health import good
 from sagetrestle.net.routing.inputs import Reconfigured, ReloadFailed, Started, StopAsked
-from sagetrestle.net.routing.state import new_state
+from sagetrestle.net.routing.reducer import HANDLERS
+from sagetrestle.net.routing.state import join_pair, new_state
 from sagetrestle.net.routing.values import ConnectionId
 from sagetrestle.net.transport.connection import Front
 from sagetrestle.net.transport.dnssd import DnsResponder, ServiceAuthority
@@ -54,7 +55,8 @@
                  reread: Callable[[], Config], runner: Callable[[Any, Post], Any] = KernelLink) -> None:
         self.reactor, self.config, self._reread = reactor, config, reread
         guard = config.identity.guard() if config.identity else None
-        self.loop = TurnLoop(reactor, clock, new_state(config.plan, guard), self.perform, self._failed)
+        handlers = dict(HANDLERS)
+        self.loop = TurnLoop(reactor, clock, new_state(config.plan, guard), self.perform, self._failed, handlers)
         self._log = log.BoundedLog(logger.info, lambda: self.loop.now, fields=hasattr(logger, "bind"))
         post = self.loop.post
         bounds = config.plan.bounds
@@ -74,21 +76,21 @@
         if config.management:
             from sagetrestle.net.transport.management import ManagementFront
             self.management = ManagementFront(reactor, post, bounds.management)
-            self._add_handover(reactor, post)
+            self._add_handover(reactor, post, handlers)
         credentials = None
         if config.identity:
             credentials = self._add_identity(config.identity, post)
         if config.scgi:
             self._add_scgi("scgi", config.scgi.held_kb, post, credentials)
 
-    def _add_handover(self, reactor: Any, post: Post) -> None:
+    def _add_handover(self, reactor: Any, post: Post, handlers: dict[type, Any]) -> None:
         """Set up what upgrades need; it is loaded only here."""
         from sagetrestle.net.program.handover import Handover
-        from sagetrestle.net.routing.handover import HANDLERS, Pair
-        from sagetrestle.net.routing.reducer import HANDLERS as ALL
-        ALL.update(HANDLERS)
+        from sagetrestle.net.routing.handover import HANDLERS as PAIRED
+        from sagetrestle.net.routing.handover import Pair
+        handlers |= PAIRED
         host, port = self.config.listen
-        self.loop.state.pair = Pair(self.config.plan, self.config.name, f"{host}:{port}")
+        join_pair(self.loop.state, Pair(self.config.plan, self.config.name, f"{host}:{port}"))
         self.handover = Handover(reactor, post, self.config.shared, self.config.name, self._log.line,
                                  lambda: self._tls and self._tls.context)
 
--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -10,6 +10,7 @@
 from sagetrestle.interface import Outcome, RunEnded
 from sagetrestle.net.routing import access, health
 from sagetrestle.net.routing.effects import CommandRun, PostCall
+from sagetrestle.net.routing.gate import Word
 from sagetrestle.net.routing.state import Entry, Phase
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import CommandKind, Refused
@@ -30,14 +31,17 @@
     if entry.phase is Phase.PAUSED:
         entry.phase = Phase.RUNNING
         turn.command(entry, CommandRun(CommandKind.RESUME, action.id))
-    elif entry.phase is Phase.HELD and not turn.state.keys.may_start(entry.request):
-        if turn.state.pair is not None and turn.state.pair.join(turn, entry):
-            return
-        # Guards against a second effect whatever the module makes of the tries: the window binds the program.
-        turn.log(f"request {action.id} not run: a try of it ran within the window")
-        turn.reuse(entry, None)
-    elif entry.phase is Phase.HELD and (turn.state.pair is None or turn.state.pair.may_start(turn, entry)):
+    elif entry.phase is Phase.HELD:
+        through_gate(turn, entry)
+
+
+def through_gate(turn: Turn, entry: Entry) -> None:
+    """Start a held request, or one for which a word came, as far as the gate allows."""
+    word = turn.state.gate.ask(turn, entry)
+    if word is Word.START:
         start(turn, entry)
+    elif word is Word.WAIT:
+        entry.phase = Phase.WAITING
 
 
 def start(turn: Turn, entry: Entry) -> None:
@@ -55,7 +59,7 @@
     if entry.phase is Phase.RUNNING:
         entry.pausing = True
         turn.command(entry, CommandRun(CommandKind.PAUSE, action.id))
-    elif entry.phase is Phase.CLAIMING:  # not begun: it is paused as it stands
+    elif entry.phase is Phase.WAITING:  # not begun: it is paused as it stands
         entry.phase = Phase.HELD
         turn.events.append(RunEnded(action.id, Outcome.CANCELLED))
 
@@ -106,8 +110,7 @@
         entry.phase = Phase.JOINED
         earlier.joined.append(action.id)
         return
-    pair = turn.state.pair
-    if pair is not None and pair.claims.wait(entry.repeats or "", action.id):  # it runs at another process
+    if turn.state.gate.wait(entry.repeats or "", action.id):  # it runs at another process
         entry.phase = Phase.JOINED
         return
     kept = turn.state.keys.result(entry.repeats or "")
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -140,7 +140,7 @@
         _doubtful(turn, request, "its key came before with another body", Failed(FailCause.CONFLICT))
         return
     connection.proven = True
-    if _may_have_run(turn, request):
+    if turn.state.gate.may_have_run(turn, request):
         turn.final(request, Failed())
         return
     reserved = False
@@ -151,14 +151,6 @@
     _take(turn, connection, request, verdict, reserved)
 
 
-def _may_have_run(turn: Turn, request: Request) -> bool:
-    """Tell whether a keyed request may have run at another process that can not be asked."""
-    pair, keys = turn.state.pair, turn.state.keys
-    key = keys.key_of(request) if pair is not None else None
-    return (key is not None and key[0] == "keyed" and not pair.may_run(request)
-            and not keys.ran_before(request))
-
-
 def _take(turn: Turn, connection: Connection, request: Request, verdict: Verdict | None,
           reserved: bool) -> None:
     """Tie a request to the try it repeats, and tell the module."""
--- /dev/null
+++ b/sagetrestle/net/routing/gate.py
@@ -0,0 +1,82 @@
+"""The one gate before a keyed run: the window of its key, and whoever else has a say, in order.
+
+A judge is another process's side of the matter: the pair of an upgrade, or the fleet. Each answers for a try that the
+module wants to run; what waits does so in one phase, and comes here again with each word.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:  # the state holds the gate
+    from sagetrestle.net.routing.state import Entry
+    from sagetrestle.net.routing.turn import Turn
+    from sagetrestle.net.routing.values import Request
+
+
+class Word(Enum):
+    """What a keyed run may do."""
+
+    START = "start"
+    WAIT = "wait for a word"
+    OVER = "joined to another try, or answered: there is nothing left to start"
+
+
+class Judge(Protocol):
+    """Somebody besides the window who has a say."""
+
+    def judge(self, turn: Turn, entry: Entry) -> Word:
+        """Say whether a keyed try may run that the window allows."""
+
+    def join(self, turn: Turn, entry: Entry) -> bool:
+        """Have a try that the window forbids wait for the one of its key that ran elsewhere; False if none did."""
+
+    def wait(self, by: str, id: str) -> bool:
+        """Have a try wait for the one that it repeats, if that runs elsewhere."""
+
+    def may_have_run(self, turn: Turn, request: Request) -> bool:
+        """Tell whether a keyed request that is not known here may have run where nobody can be asked."""
+
+    def over(self, turn: Turn, entry: Entry) -> None:
+        """Note that a try is over."""
+
+
+@dataclass(slots=True)
+class Gate:
+    """All judges, asked in their order."""
+
+    judges: list[Judge] = field(default_factory=list)
+
+    def ask(self, turn: Turn, entry: Entry) -> Word:
+        """Say whether a held try may run now; only a keyed one is anybody's concern."""
+        keys = turn.state.keys
+        if not keys.keyed(entry.request):
+            return Word.START
+        if not keys.may_start(entry.request):
+            if not any(one.join(turn, entry) for one in self.judges):
+                # Guards against a second effect whatever the module makes of the tries: the window binds the program.
+                turn.log(f"request {entry.request.id} not run: a try of it ran within the window")
+                turn.reuse(entry, None)
+            return Word.OVER
+        for one in self.judges:
+            word = one.judge(turn, entry)
+            if word is not Word.START:
+                return word
+        return Word.START
+
+    def wait(self, by: str, id: str) -> bool:
+        """Have a try wait for the one that it repeats, if that runs at another process."""
+        return any(one.wait(by, id) for one in self.judges)
+
+    def may_have_run(self, turn: Turn, request: Request) -> bool:
+        """Tell at the door whether a keyed request can only fail, as it may have run out of reach."""
+        keys = turn.state.keys
+        return bool(self.judges) and keys.keyed(request) and not keys.ran_before(request) and any(
+            one.may_have_run(turn, request) for one in self.judges)
+
+    def over(self, turn: Turn, entry: Entry) -> None:
+        """Note that a try is over."""
+        for one in self.judges:
+            one.over(turn, entry)
--- a/sagetrestle/net/routing/handover.py
+++ b/sagetrestle/net/routing/handover.py
@@ -10,8 +10,9 @@
 from sagetrestle.handover.claims import Claims, Found
 from sagetrestle.interface import Beside, Drain, Outcome, RunEnded
 from sagetrestle.net.routing import chores, health, inputs
-from sagetrestle.net.routing.actions import start
+from sagetrestle.net.routing.actions import through_gate
 from sagetrestle.net.routing.effects import Listen, Room, StopListening, ToOther
+from sagetrestle.net.routing.gate import Word
 from sagetrestle.net.routing.keys import LATE_READ_US, MARGIN_US
 from sagetrestle.net.routing.state import Drain as DrainState
 from sagetrestle.net.routing.state import Entry, Phase, State
@@ -61,22 +62,29 @@
         """Tell whether a keyed request that is not known here can not have run at another process."""
         return elder.may_run(self.elder, request.arrived) and successor.may_run(self.successor, request.arrived)
 
-    def may_start(self, turn: Turn, entry: Entry) -> bool:
-        """Tell whether a run may start now; a keyed one may have to be granted first, or not run at all."""
+    def may_have_run(self, turn: Turn, request: Request) -> bool:
+        """Tell whether a request that is not known here may have run where nobody can be asked."""
+        return not self.may_run(request)
+
+    def judge(self, turn: Turn, entry: Entry) -> Word:
+        """Say whether a keyed run may start now; it may have to be granted first, or not run at all."""
         request = entry.request
-        if entry.claimed or not _keyed(turn, request):
-            return True
+        if entry.claimed:
+            return Word.START
         if not self.may_run(request):
             turn.log(f"request {request.id} not run: it may have run at another process")
             turn.reuse(entry, None)
-            return False
+            return Word.OVER
         if elder.must_ask(self.elder):
-            entry.phase = Phase.CLAIMING
             if request.id not in self.claims.pending:
                 self.claims.pending.add(request.id)
                 self._to_heir(turn, messages.Claim(turn.state.keys.record(request)))
-            return False
-        return True
+            return Word.WAIT
+        return Word.START
+
+    def wait(self, by: str, id: str) -> bool:
+        """Have a try here wait for one at the other process."""
+        return self.claims.wait(by, id)
 
     def join(self, turn: Turn, entry: Entry) -> bool:
         """Have a try wait for the one of its key that runs at the other process; False if none does.
@@ -90,7 +98,7 @@
         turn.events.append(RunEnded(entry.request.id, Outcome.ERROR))
         return True
 
-    def over(self, entry: Entry) -> None:
+    def over(self, turn: Turn, entry: Entry) -> None:
         """Note that a try is over, which the other process may have to be told."""
         id = entry.request.id
         if entry.ran and entry.request.key and (elder.must_ask(self.elder) or id in self.claims.wanted):
@@ -231,7 +239,7 @@
         turn.log("the newer process is gone")
         for id in sorted(self.claims.pending):
             entry = turn.state.entries.get(id)
-            if entry is not None and entry.phase in (Phase.CLAIMING, Phase.HELD):
+            if entry is not None and entry.phase in (Phase.WAITING, Phase.HELD):
                 turn.reuse(entry, None)
         for by in list(self.claims.remote):
             self._settle(turn, by, None)
@@ -316,8 +324,8 @@
         entry = turn.state.entries.get(id)
         if entry is not None:
             entry.claimed = True
-            if entry.phase is Phase.CLAIMING:
-                start(turn, entry)
+            if entry.phase is Phase.WAITING:
+                through_gate(turn, entry)
 
     def _denied(self, turn: Turn, denied: messages.Denied) -> None:
         """Have a try wait for the one that ran elsewhere, or fail where that had another body."""
@@ -348,11 +356,6 @@
         turn.effects.append(ToOther(successor.Say(message)))
 
 
-def _keyed(turn: Turn, request: Request) -> bool:
-    key = turn.state.keys.key_of(request)
-    return key is not None and key[0] == "keyed"
-
-
 def _found(turn: Turn, id: str) -> Found:
     """Return what became of a try; one that was dropped for want of room has no result."""
     if id in turn.state.entries:
--- a/sagetrestle/net/routing/keys.py
+++ b/sagetrestle/net/routing/keys.py
@@ -67,6 +67,10 @@
             return ("read", request.cls, request.tenant, request.subject)
         return None
 
+    def keyed(self, request: Request) -> bool:
+        """Tell whether a request's key binds its runs."""
+        return bool(request.key) and self.settings.classes[request.cls].effect is Effect.KEYED
+
     def conflicts(self, request: Request, now: int) -> bool:
         """Tell whether a living key came before with another body."""
         key = self.key_of(request)
--- a/sagetrestle/net/routing/reducer.py
+++ b/sagetrestle/net/routing/reducer.py
@@ -4,7 +4,7 @@
 
 import heapq
 import traceback
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from sagetrestle.interface import Woke
@@ -14,7 +14,8 @@
 from sagetrestle.net.routing.state import State
 from sagetrestle.net.routing.turn import Turn
 
-HANDLERS: dict[type, Callable[[Turn, Any], None]] = {
+Handlers = Mapping[type, Callable[[Turn, Any], None]]
+HANDLERS: Handlers = {
     inputs.Started: chores.started,
     inputs.Reconfigured: chores.reconfigured,
     inputs.ReloadFailed: chores.reload_failed,
@@ -42,16 +43,18 @@
 }
 
 
-def reduce(state: State, now: int, items: Sequence[inputs.Input], ahead: int = 0) -> list[Effect]:
+def reduce(state: State, now: int, items: Sequence[inputs.Input], ahead: int = 0,
+           handlers: Handlers = HANDLERS) -> list[Effect]:
     """Take what came in at ``now`` and return what is to be done, in order.
 
-    ``ahead`` is how far the Unix clock is ahead of that, for times that are told in Unix time.
+    ``ahead`` is how far the Unix clock is ahead of that, for times that are told in Unix time; ``handlers`` are those
+    above, and those of parts that are on.
     """
     turn = Turn(state, now, ahead)
     if state.exited:
         return []
     for item in items:
-        _attempt(turn, HANDLERS[type(item)], item)
+        _attempt(turn, handlers[type(item)], item)
     for step in STEPS:
         _attempt(turn, step)
     state.keys.end_turn()
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -11,6 +11,7 @@
 from sagetrestle.logic import Policy
 from sagetrestle.net.routing.effects import CommandRun
 from sagetrestle.net.routing.figures import Figures
+from sagetrestle.net.routing.gate import Gate
 from sagetrestle.net.routing.keys import KeyTable
 from sagetrestle.net.routing.values import CommandKind, ConnectionId, Peers, Plan, Request, Ticket
 
@@ -23,7 +24,7 @@
     """Where a request stands."""
 
     HELD = "held"
-    CLAIMING = "waiting for another process to grant the run"
+    WAITING = "waiting for a word from another process"
     RUNNING = "running"
     PAUSED = "paused"
     AT_CALL = "at a call not made"
@@ -129,10 +130,17 @@
     value: float | None = None
     idle_us: int = 0
     listening: bool = False
+    gate: Gate = field(default_factory=Gate)
     pair: Pair | None = None  # with another process of this server, where there may be one
     exited: bool = False
 
 
+def join_pair(state: State, pair: Pair) -> None:
+    """Have an upgrade's pair reached by the core, and heard before a keyed run."""
+    state.pair = pair
+    state.gate.judges.append(pair)
+
+
 def new_state(plan: Plan, guard: Guard | None = None) -> State:
     """Return the state of a server that starts."""
     keys = KeyTable(plan.settings, most_bytes=plan.bounds.results)
--- a/sagetrestle/net/routing/turn.py
+++ b/sagetrestle/net/routing/turn.py
@@ -60,8 +60,7 @@
             self.state.guard.spending.give_back(
                 entry.request.tenant, (entry.request.cls, entry.request.key or ""))
         self.state.keys.finish(entry.request, result, self.now)
-        if self.state.pair is not None:
-            self.state.pair.over(entry)
+        self.state.gate.over(self, entry)
         for id in entry.joined:
             waiting = self.state.entries.get(id)
             if waiting and waiting.phase is Phase.JOINED:
--- a/tests/models/test_handover_model.py
+++ b/tests/models/test_handover_model.py
@@ -12,11 +12,11 @@
 from sagetrestle.handover import elder, successor
 from sagetrestle.net.routing import effects as fx
 from sagetrestle.net.routing import handover, inputs, reducer
-from sagetrestle.net.routing.state import new_state
+from sagetrestle.net.routing.state import join_pair, new_state
 from sagetrestle.net.routing.values import CommandKind, ConnectionId, Peers, Request, RunEnd, Ticket
 from tests.net.scenario import WINDOW_MS, plan
 
-reducer.HANDLERS.update(handover.HANDLERS)
+HANDLERS = {**reducer.HANDLERS, **handover.HANDLERS}
 HERE = ("127.0.0.1", 1)
 KEYED, WINDOW_US = 2, WINDOW_MS * 1000
 FRONT = ConnectionId("thrift", 1)
@@ -29,7 +29,7 @@
         self.model, self.alive, self.kernel_up = model, True, kernel_up
         base = plan()
         self.state = new_state(type(base)(base.settings, base.stop_us, base.bounds, base.gauges, 7, True))
-        self.state.pair = handover.Pair(self.state.plan, "n1", "here")
+        join_pair(self.state, handover.Pair(self.state.plan, "n1", "here"))
         self.running: list[str] = []
         self.serial = self.link = 0
         self.inbox: deque = deque()  # what is on its way here over the stream
@@ -41,7 +41,7 @@
         """Reduce a turn and carry out what it asks for."""
         todo = deque([list(items)])
         while todo and self.alive and not self.state.exited:
-            for effect in reducer.reduce(self.state, self.model.now, todo.popleft()):
+            for effect in reducer.reduce(self.state, self.model.now, todo.popleft(), 0, HANDLERS):
                 follows = self._perform(effect)
                 if follows is not None:
                     todo.append([follows])
