Add the council's log: Raft with pre-vote, learners, leases under drift, and its store

Need: who owns which partition has to be agreed by few, last on disk, and survive a member that forgot. Change: consensus/ (one state machine without I/O; formed once by members with empty stores; an id is a name and a store, so lost storage has no vote; a voter that starts is reminded of what it told before, and an older copy is given up) and store/votes.py (rows with checksums; a spoilt file is not used).

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -31,6 +31,7 @@
     tests: tuple[str, ...]
 
 
+COUNCIL = ("tests/consensus",)
 JOURNAL = ("tests/store/test_journal.py", "tests/recovery/test_effects.py")
 MUTANTS = (
     Mutant("a spoilt key freed", "sagetrestle/store/journal.py", "entries.append(Entry(Kind.LOST, key, now_us))",
@@ -48,6 +49,24 @@
            "old if ended and old is not None else Effect(", "old if old is not None else Effect(", JOURNAL),
     Mutant("keys in doubt kept with their server through a loss", "sagetrestle/recovery/effects.py",
            "if one.standing in SETTLED}", "if one.standing is not Standing.FREE}", JOURNAL),
+    Mutant("a vote not written before it is cast", "sagetrestle/consensus/core.py",
+           "before = [*before, _stamp(state)]", "pass", COUNCIL),
+    Mutant("a vote after amnesia", "sagetrestle/consensus/core.py",
+           "if term > state.term or term == state.term and index > state.last[0]:", "if False:", COUNCIL),
+    Mutant("a leader's lease counted from the answer", "sagetrestle/consensus/core.py",
+           "state.rounds.get(answer.round, known.acked_us)", "now", COUNCIL),
+    Mutant("a vote while a leader is heard", "sagetrestle/consensus/core.py",
+           "sticky = state.role is Role.LEADER or now < least", "sticky = False", COUNCIL),
+    Mutant("an entry of an earlier term committed by counting", "sagetrestle/consensus/core.py",
+           "if index <= state.commit or state.at(index) != state.term:", "if index <= state.commit:", COUNCIL),
+    Mutant("an acknowledgement before its write", "sagetrestle/consensus/core.py",
+           "return state, [*before, *writes, Send(sender, Appended(state.term, True, index, message.round)), *applied]",
+           "return state, [Send(sender, Appended(state.term, True, index, message.round)), *before, *writes, *applied]",
+           COUNCIL),
+    Mutant("two voters changed at once", "sagetrestle/consensus/core.py",
+           "len(old ^ set(config.voters)) > 1", "False", COUNCIL),
+    Mutant("a spoilt store used", "sagetrestle/store/votes.py",
+           'if total != signed_sum(name.encode() + b"\\0" + data):', "if False:", ("tests/store/test_votes.py",)),
 )
 
 
--- a/sagetrestle/store/journal.py
+++ b/sagetrestle/store/journal.py
@@ -18,21 +18,15 @@
 from typing import NamedTuple
 
 import msgspec
-import xxhash
 
 from sagetrestle.recovery.effects import Entry, Kind
+from sagetrestle.store.database import PAGE, StoreError, StoreFull, open_lasting, signed_sum, told
 
-PAGE = 4096
 FORMAT = 2  # 1 had no checksum of the key alone
 POINTS = ("begin", "written", "committed", "compact-begin", "compact-deleted", "compact-written", "compact-committed")
 
 
-class JournalError(Exception):
-    """The disk or the file; nothing of the group that it was raised for is durable."""
-
-
-class JournalFull(JournalError):
-    """No room: the bound on the file, or the disk."""
+JournalError, JournalFull = StoreError, StoreFull
 
 
 class Read(NamedTuple):
@@ -50,15 +44,8 @@
 
     def __init__(self, path: Path, most_bytes: int = 256 << 20, at: Callable[[str], None] | None = None) -> None:
         self._at = at or (lambda point: None)
+        self._db, version = open_lasting(path, most_bytes, (1, FORMAT))
         try:
-            self._db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
-            version = self._db.execute("PRAGMA user_version").fetchone()[0]
-            if version not in (0, 1, FORMAT):
-                raise JournalError(f"{path}: format {version} is not {FORMAT}")
-            self._db.execute(f"PRAGMA page_size={PAGE}")
-            self._db.execute("PRAGMA journal_mode=WAL")
-            self._db.execute("PRAGMA synchronous=FULL")
-            self._db.execute(f"PRAGMA max_page_count={max(16, most_bytes // PAGE)}")
             self._db.execute("BEGIN IMMEDIATE")
             self._db.execute("CREATE TABLE IF NOT EXISTS entries(seq INTEGER PRIMARY KEY, key TEXT NOT NULL, "
                              "data BLOB NOT NULL, sum INTEGER NOT NULL, key_sum INTEGER)")
@@ -67,7 +54,7 @@
             self._db.execute(f"PRAGMA user_version={FORMAT}")
             self._db.execute("COMMIT")
         except sqlite3.Error as error:
-            raise _told(error) from None
+            raise told(error) from None
 
     def append(self, entries: Iterable[Entry]) -> None:
         """Make a group of entries durable, all or none."""
@@ -80,13 +67,13 @@
             self._db.execute("COMMIT")
         except sqlite3.Error as error:
             self._roll_back()
-            raise _told(error) from None
+            raise told(error) from None
         self._at("committed")
 
     def _insert(self, rows: list[tuple[str, bytes]]) -> None:
         first = self._db.execute("SELECT COALESCE(MAX(seq), 0) FROM entries").fetchone()[0] + 1
         self._db.executemany("INSERT INTO entries(seq, key, data, sum, key_sum) VALUES(?, ?, ?, ?, ?)", (
-            (seq, key, data, _sum(seq, key.encode(), data), _signed(key.encode()))
+            (seq, key, data, _sum(seq, key.encode(), data), signed_sum(key.encode()))
             for seq, (key, data) in enumerate(rows, start=first)))
 
     def read(self, now_us: int) -> Read:
@@ -106,14 +93,14 @@
                     lose("")
                 last = seq
                 if total != _sum(seq, key, data):
-                    lose(key.decode(errors="replace") if key_sum == _signed(key) else "")
+                    lose(key.decode(errors="replace") if key_sum == signed_sum(key) else "")
                     continue
                 try:
                     entries.append(_decode(data))
                 except (msgspec.MsgspecError, ValueError):
                     lose(key.decode(errors="replace"))
         except sqlite3.Error as error:
-            raise _told(error) from None
+            raise told(error) from None
         return Read(entries, spoilt)
 
     def compact(self, living: Iterable[Entry]) -> None:
@@ -131,7 +118,7 @@
             self._db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
         except sqlite3.Error as error:
             self._roll_back()
-            raise _told(error) from None
+            raise told(error) from None
 
     def size(self) -> int:
         """Return the bytes that are in use, free pages left out."""
@@ -160,11 +147,6 @@
             self._db.execute("ROLLBACK")
 
 
-def _told(error: sqlite3.Error) -> JournalError:
-    full = getattr(error, "sqlite_errorcode", 0) == sqlite3.SQLITE_FULL
-    return JournalFull("the journal is full") if full else JournalError(str(error))
-
-
 class _Row(msgspec.Struct, array_like=True):
     kind: str
     key: str
@@ -189,10 +171,4 @@
 
 def _sum(seq: int, key: bytes, data: bytes) -> int:
     """Return an entry's checksum."""
-    return _signed(b"%d\0%s\0%s" % (seq, key, data))
-
-
-def _signed(data: bytes) -> int:
-    """Return a checksum as SQLite holds it: 64 bits, signed."""
-    value = xxhash.xxh3_64_intdigest(data)
-    return value - (1 << 64) if value >= 1 << 63 else value
+    return signed_sum(b"%d\0%s\0%s" % (seq, key, data))
--- /dev/null
+++ b/sagetrestle/store/votes.py
@@ -0,0 +1,110 @@
+"""What a council member must not forget: its term and vote, its log, its snapshot. One SQLite file.
+
+The file has an identity, drawn when it is made: a member with another file is another voter. Each row has a checksum;
+a file in which one does not hold is not used at all, as what it acknowledged can not be known.
+"""
+
+from __future__ import annotations
+
+import secrets
+import sqlite3
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from sagetrestle.consensus.core import Write
+from sagetrestle.consensus.messages import LogEntry, Snapshot
+from sagetrestle.store.database import StoreError, open_lasting, signed_sum, told
+
+FORMAT = 1
+
+
+class Kept(NamedTuple):
+    """What the file holds."""
+
+    identity: str
+    term: int
+    vote: str
+    log: tuple[LogEntry, ...]
+    snapshot: Snapshot
+
+
+class SpoiltStore(StoreError):
+    """A row is not what was written: the file may not be used."""
+
+
+class VoteStore:
+    """One file. Not for two threads at once."""
+
+    def __init__(self, path: Path, most_bytes: int = 64 << 20) -> None:
+        self._db, version = open_lasting(path, most_bytes, (FORMAT,))
+        try:
+            self._db.execute("BEGIN IMMEDIATE")
+            if not version:
+                self._db.execute("CREATE TABLE words(name TEXT PRIMARY KEY, data BLOB NOT NULL, sum INTEGER NOT NULL)")
+                self._db.execute("CREATE TABLE log(at INTEGER PRIMARY KEY, data BLOB NOT NULL, sum INTEGER NOT NULL)")
+                self._put("identity", secrets.token_hex(8).encode())
+                self._db.execute(f"PRAGMA user_version={FORMAT}")
+            self._db.execute("COMMIT")
+        except sqlite3.Error as error:
+            raise told(error) from None
+
+    def read(self) -> Kept:
+        """Return what the file holds. Raises SpoiltStore."""
+        try:
+            words = {name: self._whole(name, data, total) for name, data, total in self._db.execute(
+                "SELECT CAST(name AS TEXT), CAST(data AS BLOB), sum FROM words")}
+            rows = [(at, self._whole(str(at), data, total)) for at, data, total in self._db.execute(
+                "SELECT at, CAST(data AS BLOB), sum FROM log ORDER BY at")]
+            term, vote = msgspec.msgpack.decode(words["state"], type=tuple[int, str]) if "state" in words else (0, "")
+            snapshot = msgspec.msgpack.decode(words["snapshot"], type=Snapshot) if "snapshot" in words else Snapshot()
+            log = tuple(msgspec.msgpack.decode(data, type=LogEntry) for _, data in rows)
+            identity = words["identity"].decode()
+        except (sqlite3.Error, msgspec.MsgspecError, KeyError, ValueError) as error:
+            raise SpoiltStore(f"the council's store can not be read: {error}") from None
+        if [one.index for one in log] != list(range(snapshot.index + 1, snapshot.index + 1 + len(log))):
+            raise SpoiltStore("the council's store has gaps in its log")
+        return Kept(identity, term, vote, log, snapshot)
+
+    @staticmethod
+    def _whole(name: str, data: bytes, total: int) -> bytes:
+        if total != signed_sum(name.encode() + b"\0" + data):
+            raise SpoiltStore(f"the council's store is spoilt at {name}")
+        return data
+
+    def write(self, what: Write) -> None:
+        """Make what a member decided durable, all or nothing. Raises StoreError."""
+        try:
+            self._db.execute("BEGIN IMMEDIATE")
+            self._put("state", msgspec.msgpack.encode((what.term, what.vote)))
+            if what.snapshot is not None:
+                self._put("snapshot", msgspec.msgpack.encode(what.snapshot))
+                self._db.execute("DELETE FROM log WHERE at <= ?", (what.snapshot.index,))
+            self._db.execute("DELETE FROM log WHERE at > ?", (what.keep,))
+            self._db.executemany("INSERT INTO log(at, data, sum) VALUES(?, ?, ?)", (
+                (one.index, data, signed_sum(b"%d\0%s" % (one.index, data)))
+                for one in what.entries for data in (msgspec.msgpack.encode(one),)))
+            self._db.execute("COMMIT")
+        except sqlite3.Error as error:
+            if self._db.in_transaction:
+                self._db.execute("ROLLBACK")
+            raise told(error) from None
+
+    def _put(self, name: str, data: bytes) -> None:
+        self._db.execute("INSERT OR REPLACE INTO words(name, data, sum) VALUES(?, ?, ?)",
+                         (name, data, signed_sum(name.encode() + b"\0" + data)))
+
+    def close(self) -> None:
+        """Close the file."""
+        self._db.close()
+
+
+def set_aside(path: Path) -> Path:
+    """Move a store that may not be used out of the way, with its log, and return where it is for a look."""
+    aside = path.with_name(f"{path.name}.spoilt")
+    for end in ("", "-wal", "-shm"):
+        file = Path(f"{path}{end}")
+        if file.exists():
+            file.replace(Path(f"{aside}{end}"))
+    return aside
--- /dev/null
+++ b/tests/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The council."""
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -45,7 +45,8 @@
              "translation": (*IO, *TOOLS, "identity", "membership", "router"),
              "handover": (*IO, *TOOLS, "identity", "membership", "router"),
              "identity": (*IO, *TOOLS, "membership"), "limits": (*IO, *TOOLS, "identity"),
-             "store": ("twisted", "net", *TOOLS)}
+             "store": ("twisted", "net", *TOOLS),
+             "consensus": (*SEEDED, *TOOLS, "identity", "limits", "membership", "router")}
 
 
 class LayersTest(unittest.TestCase):
