--- /dev/null
+++ b/sagetrestle/takeover/books.py
@@ -0,0 +1,564 @@
+"""Records of charges by partition: an owner's, its backups', and what a new owner does with them.
+
+The rule: an intent is at every backup of the epoch before its run starts, and a member that knows a later epoch takes
+no record of an earlier one. So whoever owns a partition next has every charge that may have started, without any clock.
+A position names a prefix of one owner's stream in one epoch (its label); two copies with one label agree as far as the
+shorter goes.
+
+Methods return decisions; times are microseconds, ``now`` monotonic, ``unix`` for what has to mean the same elsewhere.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from sagetrestle.ownership.values import FleetMap, FleetTerms, Origin, Place, Share
+from sagetrestle.recovery.effects import Effect, EffectError, EffectTable, Entry, Kind, Standing
+from sagetrestle.takeover import messages
+from sagetrestle.takeover.messages import BYTES_A_MESSAGE, ENTRIES_A_MESSAGE, FleetMessage
+
+AGAIN_US = 100_000  # until what was not acknowledged is sent again
+ASK_EVERY_US = 1_000_000  # between questions after what an owner before may have run
+TAIL = 4_096  # entries kept to bring a copy up to date without all of them
+CHUNKS_OUT = 4  # chunks of a transfer that are not acknowledged
+MOST_PLACES = 1_000
+MOST_TOLD = 100_000  # ends of runs that an owner after this one has yet to take
+
+
+class Say(NamedTuple):
+    """Send a message to a member, by id."""
+
+    to: str
+    message: FleetMessage
+
+
+class Start(NamedTuple):
+    """A try is recorded: its run may start, with this token."""
+
+    id: str
+    token: tuple[int, int, str]  # partition, epoch, owner
+
+
+class TurnAway(NamedTuple):
+    """A try that waited is not to run here: another owns its partition."""
+
+    id: str
+    owner: str
+
+
+class Resolved(NamedTuple):
+    """What became of a run of an owner before is known; FREE: it never ran and never will."""
+
+    key: str
+    run: str
+    standing: Standing
+    result: bytes = b""
+
+
+class Fence(NamedTuple):
+    """Tell a kernel that a partition has a new epoch, and ask after these runs."""
+
+    place: Place
+    partition: int
+    epoch: int
+    runs: tuple[str, ...]
+
+
+class Note(NamedTuple):
+    """A line for the log."""
+
+    text: str
+
+
+Decision = Say | Start | TurnAway | Resolved | Fence | Note
+
+
+class Marks(NamedTuple):
+    """What an entry's digest tells of its try, packed by ``mark``."""
+
+    id: str
+    cls: str
+    tenant: str
+    key: str
+    body: bytes  # its digest
+
+
+def mark(what: Marks) -> bytes:
+    """Pack a try's marks."""
+    return b"\0".join([*(one.encode() for one in what[:4]), what.body])
+
+
+def marks(digest: bytes) -> Marks:
+    """Unpack a try's marks."""
+    id, cls, tenant, key, body = digest.split(b"\0", 4)
+    return Marks(id.decode(), cls.decode(), tenant.decode(), key.decode(), body)
+
+
+@dataclass(slots=True)
+class Transfer:
+    """All records of a partition on their way to a copy."""
+
+    at: int
+    chunks: list[tuple[Entry, ...]]
+    acked: int = 0
+    sent: int = 0
+    sent_us: int = 0
+
+
+@dataclass(slots=True)
+class Copy:
+    """One partition here."""
+
+    share: Share
+    table: EffectTable
+    label: int = -1
+    at: int = 0
+    complete: bool = False
+    base: tuple[int, int] = (-1, 0)  # label and position from which this epoch began
+    tail: deque[Entry] = field(default_factory=deque)
+    acked: dict[str, int] = field(default_factory=dict)  # by copies that took this epoch's base
+    sent: dict[str, int] = field(default_factory=dict)  # the position up to which was sent
+    sent_us: dict[str, int] = field(default_factory=dict)
+    transfers: dict[str, Transfer] = field(default_factory=dict)
+    asks: deque[tuple[int, str]] = field(default_factory=deque)  # tries that wait for their record, by position
+    clear_us: int = 0  # until then the owner before may not know that it is over
+    staged: dict[int, tuple[Entry, ...]] = field(default_factory=dict)
+    staged_at: tuple[int, int] = (-1, -1)  # epoch and position of what is staged
+    ask_us: int = 0
+    doubts: dict[str, str] = field(default_factory=dict)  # runs of owners before that may go on, and their keys
+    required: dict[str, int] = field(default_factory=dict)  # joining members that nothing starts without, and since
+
+    def entry_after(self, at: int) -> list[Entry] | None:
+        """Return the entries behind a position, if the tail has them."""
+        first = self.at - len(self.tail)
+        return None if at < first or at > self.at else list(self.tail)[at - first:]
+
+
+class Books:
+    """All partitions at one member."""
+
+    def __init__(self, me: str, terms: FleetTerms, window_us: int) -> None:
+        self.me, self.terms, self._window_us = me, terms, window_us
+        self.map = FleetMap()
+        self.copies: dict[int, Copy] = {}
+        self._telling: dict[tuple[int, str], Entry] = {}  # ends of runs whose partition has another owner now
+        self._tell_us = 0
+        self.places: dict[str, Place] = {}  # members that are or were, as long as a run of theirs may be asked after
+        self.taken_over = self.adopted = self.freed = 0
+
+    # What the scorer asks
+
+    def share_of(self, key: str) -> tuple[int, Share]:
+        """Return a key's partition and its share as known here."""
+        at, share = self.map.share_of(key)
+        copy = self.copies.get(at)
+        return at, copy.share if copy is not None and copy.share.epoch > share.epoch else share
+
+    def owns(self, at: int, now: int) -> bool:
+        """Tell whether this member may act as the owner, its lease aside."""
+        copy = self.copies.get(at)
+        return copy is not None and copy.share.owner == self.me and copy.complete and now >= copy.clear_us
+
+    def known(self, at: int, effect_key: str, unix: int) -> Effect | None:
+        """Return what is known of a key whose try arrived at ``unix``."""
+        copy = self.copies.get(at)
+        return copy.table.get(effect_key, unix) if copy is not None else None
+
+    def recordable(self, at: int) -> bool:
+        """Tell whether enough members hold records for a new charge."""
+        copy = self.copies.get(at)
+        return copy is not None and len(copy.share.backups) >= self.terms.least
+
+    def record(self, now: int, at: int, id: str, entry: Entry) -> list[Decision]:
+        """Record an intent; ``Start`` follows once all backups have it. Raises EffectError."""
+        copy = self.copies[at]
+        entries = [entry]
+        copy.table.take(entry)
+        self._extend(copy, entries)
+        copy.asks.append((copy.at, id))
+        return [*self._stream(now, at, copy), *self._started(copy, at)]
+
+    def ended(self, now: int, at: int, entry: Entry) -> list[Decision]:
+        """Take what became of a run of one's own: recorded here, or told to who owns it now."""
+        copy = self.copies.get(at)
+        if copy is None or copy.share.owner != self.me or not copy.complete:
+            if len(self._telling) < MOST_TOLD:
+                self._telling[(at, entry.key)] = entry._replace(server=self.me)
+            return self._tell(now, at)
+        try:
+            copy.table.take(entry)
+        except EffectError as error:
+            return [Note(f"record not taken: {error}")]
+        self._extend(copy, [entry])
+        return self._stream(now, at, copy)
+
+    def _extend(self, copy: Copy, entries: Iterable[Entry]) -> None:
+        for one in entries:
+            copy.tail.append(one)
+            copy.at += 1
+        while len(copy.tail) > TAIL:
+            copy.tail.popleft()
+
+    # The map
+
+    def see(self, now: int, unix: int, known: FleetMap) -> list[Decision]:
+        """Take a newer map."""
+        if known.version <= self.map.version:
+            return []
+        self.map = known
+        self.places.update((one.id, one) for one in known.places)
+        while len(self.places) > max(MOST_PLACES, 2 * len(known.places)):
+            del self.places[next(iter(self.places))]
+        decisions: list[Decision] = []
+        for at, share in enumerate(known.shares):
+            decisions += self._share(now, unix, at, share)
+        for key in [key for key, entry in self._telling.items() if unix > entry.at_us + self._window_us]:
+            del self._telling[key]
+        return decisions + self._tell(now)
+
+    def _share(self, now: int, unix: int, at: int, share: Share) -> list[Decision]:
+        """Take a partition's newer epoch, from the map or from its owner."""
+        copy = self.copies.get(at)
+        if copy is not None and share.epoch <= copy.share.epoch:
+            return []
+        mine = self.me in (share.owner, *share.copies)
+        if copy is None:
+            if not mine:
+                return []
+            copy = self.copies[at] = Copy(share, EffectTable(self._window_us))
+        old, copy.share = copy.share, share
+        if share.owner == self.me:
+            return self._own(now, unix, at, copy, old)
+        decisions: list[Decision] = []
+        if old.owner == self.me and old is not share:
+            decisions += [TurnAway(id, share.owner) for _, id in copy.asks]
+        copy.asks.clear()
+        copy.transfers.clear()
+        if not mine:
+            del self.copies[at]
+        elif self.me not in share.backups and self.me not in old.backups and old.owner != self.me:
+            copy.complete = False  # joining: nothing it may have from before counts until it has all
+        return decisions
+
+    def _own(self, now: int, unix: int, at: int, copy: Copy, old: Share) -> list[Decision]:
+        """Begin an epoch as owner."""
+        share, again = copy.share, old.owner == self.me and copy.complete
+        decisions: list[Decision] = []
+        if not again and not (copy.complete and share.origin is Origin.KEPT):
+            copy.table, copy.at, copy.label = EffectTable(self._window_us), 0, -1
+            if share.origin is not Origin.NEW:
+                copy.table.take(Entry(Kind.LOST, "", unix))
+                decisions.append(Note(f"partition {at}: its records are lost: its charges are in doubt for "
+                                      f"{self._window_us / 1e6:.0f} s"))
+        copy.base, copy.label, copy.complete = (copy.label, copy.at), share.epoch, True
+        copy.transfers.clear()
+        copy.required = {id: since for id, since in copy.required.items() if id in share.joining and again}
+        if again:
+            copy.acked = {id: one for id, one in copy.acked.items() if id in share.copies}
+        else:
+            copy.tail.clear()
+            copy.acked, copy.asks = {}, deque()
+            copy.clear_us = copy.ask_us = 0
+            self.taken_over += 1
+            copy.doubts = {marks(one.digest).id: one.key for one in copy.table.in_doubt(unix)
+                           if one.server not in ("", self.me)}
+            if share.before:  # whose lease may last as long as one that was granted just now
+                copy.clear_us = now + int(self.terms.lease_us * (1 + 2 * self.terms.drift)) + 1
+                decisions.append(Say(share.before, messages.AskSeen(at, share)))
+        copy.sent, copy.sent_us = {}, {}
+        decisions += self._stream(now, at, copy)
+        return decisions + self._started(copy, at) + self._ask(now, unix, at, copy)
+
+    # The owner's side
+
+    def _stream(self, now: int, at: int, copy: Copy) -> list[Decision]:
+        """Send each copy what it has not been sent: the epoch's base first, entries, or all of it."""
+        said: list[Decision] = []
+        for id in copy.share.copies:
+            if id not in copy.sent:
+                copy.sent[id], copy.sent_us[id] = -1, now
+                said.append(Say(id, messages.Base(at, copy.share, *copy.base)))
+            elif id in copy.transfers:
+                said += self._feed(now, at, copy, id)
+            elif copy.sent[id] >= 0:
+                said += self._send(now, at, copy, id)
+        return said
+
+    def _send(self, now: int, at: int, copy: Copy, id: str) -> list[Decision]:
+        entries = copy.entry_after(copy.sent[id])
+        if entries is None:
+            return self._transfer(now, at, copy, id)
+        said: list[Decision] = []
+        place = copy.sent[id]
+        for part in in_parts(entries):
+            said.append(Say(id, messages.Records(at, copy.share.epoch, place, part)))
+            place += len(part)
+        if said:
+            copy.sent[id], copy.sent_us[id] = place, now
+        return said
+
+    def _transfer(self, now: int, at: int, copy: Copy, id: str) -> list[Decision]:
+        copy.transfers[id] = Transfer(copy.at, in_parts(copy.table.living(0)) or [()])
+        copy.sent[id] = copy.at
+        return self._feed(now, at, copy, id)
+
+    def _feed(self, now: int, at: int, copy: Copy, id: str) -> list[Decision]:
+        one = copy.transfers[id]
+        said: list[Decision] = []
+        while one.sent < min(len(one.chunks), one.acked + CHUNKS_OUT):
+            said.append(Say(id, messages.Chunk(at, copy.share.epoch, one.at, one.sent, len(one.chunks),
+                                               one.chunks[one.sent])))
+            one.sent += 1
+            one.sent_us = now
+        return said
+
+    def _started(self, copy: Copy, at: int) -> list[Decision]:
+        """Start what all backups have."""
+        backups = copy.share.backups
+        if len(backups) < self.terms.least:
+            return []
+        everywhere = min((copy.acked.get(id, -1) for id in (*backups, *copy.required)), default=copy.at)
+        found: list[Decision] = []
+        while copy.asks and copy.asks[0][0] <= everywhere:
+            found.append(Start(copy.asks.popleft()[1], (at, copy.share.epoch, self.me)))
+        return found
+
+    def recorded(self, now: int, sender: str, what: messages.Recorded) -> list[Decision]:
+        """Take an acknowledgement."""
+        copy = self.copies.get(what.partition)
+        if copy is None or copy.share.owner != self.me or what.epoch != copy.share.epoch \
+                or sender not in copy.share.copies:
+            return []
+        if what.at < 0:
+            return [] if sender in copy.transfers else self._transfer(now, what.partition, copy, sender)
+        copy.transfers.pop(sender, None)
+        copy.acked[sender] = max(copy.acked.get(sender, -1), what.at)
+        copy.sent[sender] = max(copy.sent.get(sender, -1), what.at)
+        copy.sent_us[sender] = now
+        if sender in copy.share.joining and sender not in copy.required and what.at >= copy.at - ENTRIES_A_MESSAGE:
+            copy.required[sender] = copy.at  # from here on nothing starts that it has not
+        return [*self._started(copy, what.partition), *self._send(now, what.partition, copy, sender)]
+
+    def fed(self, now: int, sender: str, what: messages.Fed) -> list[Decision]:
+        """Take the acknowledgement of a chunk."""
+        copy = self.copies.get(what.partition)
+        one = copy.transfers.get(sender) if copy is not None and what.epoch == copy.share.epoch else None
+        if copy is None or one is None or one.at != what.at:
+            return []
+        one.acked = max(one.acked, what.index + 1)
+        return self._feed(now, what.partition, copy, sender)
+
+    def synced(self) -> tuple[tuple[int, int, str], ...]:
+        """Return the joining members that have all records of what was started, and of what will be."""
+        return tuple((at, copy.share.epoch, id) for at, copy in self.copies.items() if copy.share.owner == self.me
+                     for id, since in copy.required.items() if copy.acked.get(id, -1) >= since)
+
+    # A copy's side
+
+    def based(self, now: int, unix: int, sender: str, what: messages.Base) -> list[Decision]:
+        """Take the beginning of an owner's epoch."""
+        decisions = self._share(now, unix, what.partition, what.share)
+        copy = self.copies.get(what.partition)
+        if copy is None or copy.share.epoch != what.share.epoch or copy.share.owner != sender:
+            return [*decisions, *self._stale(what.partition, sender)]
+        # Else it keeps what it has until all of it came: nothing starts in this epoch that it did not take.
+        if copy.label != what.share.epoch and copy.complete and copy.label == what.label and copy.at <= what.at:
+            copy.label = what.share.epoch
+        return [*decisions, self._acknowledge(what.partition, copy, sender)]
+
+    def _acknowledge(self, at: int, copy: Copy, owner: str) -> Say:
+        good = copy.complete and copy.label == copy.share.epoch
+        return Say(owner, messages.Recorded(at, copy.share.epoch, copy.at if good else -1))
+
+    def _stale(self, at: int, sender: str) -> list[Decision]:
+        share = self.copies[at].share if at in self.copies else (
+            self.map.shares[at] if at < len(self.map.shares) else None)
+        return [Say(sender, messages.Stale(at, share))] if share is not None else []
+
+    def records(self, sender: str, what: messages.Records) -> list[Decision]:
+        """Take entries; none of an epoch that is over."""
+        copy = self.copies.get(what.partition)
+        if copy is None or what.epoch != copy.share.epoch or sender != copy.share.owner:
+            newer = copy is not None and copy.share.epoch > what.epoch or copy is None
+            return self._stale(what.partition, sender) if newer else []
+        if copy.label == copy.share.epoch and copy.complete and what.at <= copy.at:
+            for entry in what.entries[copy.at - what.at:]:
+                self._take(copy, entry)
+                copy.at += 1
+        return [self._acknowledge(what.partition, copy, sender)]
+
+    @staticmethod
+    def _take(copy: Copy, entry: Entry) -> None:
+        try:
+            copy.table.take(entry)
+        except EffectError:  # its owner knew better: the key is in doubt here, and never free
+            copy.table.take(Entry(Kind.LOST, entry.key, entry.at_us))
+
+    def chunk(self, sender: str, what: messages.Chunk) -> list[Decision]:
+        """Take a part of all records; with the last one this copy has them."""
+        copy = self.copies.get(what.partition)
+        if copy is None or what.epoch != copy.share.epoch or sender != copy.share.owner:
+            return self._stale(what.partition, sender) if copy is None or copy.share.epoch > what.epoch else []
+        if copy.complete and copy.label == copy.share.epoch:
+            return [self._acknowledge(what.partition, copy, sender)]
+        if copy.staged_at != (what.epoch, what.at):
+            copy.staged, copy.staged_at = {}, (what.epoch, what.at)
+        copy.staged[what.index] = what.entries
+        if len(copy.staged) < what.count:
+            return [Say(sender, messages.Fed(what.partition, what.epoch, what.at, what.index))]
+        copy.table = EffectTable(self._window_us)
+        for index in range(what.count):
+            for entry in copy.staged[index]:
+                self._take(copy, entry)
+        copy.staged, copy.staged_at = {}, (-1, -1)
+        copy.label, copy.at, copy.complete = what.epoch, what.at, True
+        return [self._acknowledge(what.partition, copy, sender)]
+
+    def stale(self, now: int, unix: int, what: messages.Stale) -> list[Decision]:
+        """Learn that an epoch is over."""
+        return self._share(now, unix, what.partition, what.share)
+
+    # What owners before ran
+
+    def _ask(self, now: int, unix: int, at: int, copy: Copy) -> list[Decision]:
+        """Ask the kernels of owners before after what they may have run."""
+        if copy.share.owner != self.me or now < copy.ask_us:
+            return []
+        copy.ask_us = now + ASK_EVERY_US
+        by: dict[str, list[str]] = {}
+        for run, key in list(copy.doubts.items()):
+            effect = copy.table.get(key, unix)
+            if effect is None or effect.standing is not Standing.IN_DOUBT or not effect.server:
+                del copy.doubts[run]
+            elif self.askable(effect):
+                by.setdefault(effect.server, []).append(run)
+        return [Fence(self.places[server], at, copy.share.epoch, tuple(runs)) for server, runs in by.items()]
+
+    def askable(self, effect: Effect) -> bool:
+        """Tell whether there is a kernel that could say what became of an effect in doubt."""
+        return effect.server in self.places and bool(self.places[effect.server].kernel)
+
+    def fate(self, now: int, at: int, epoch: int, run: str, kind: Kind, result: bytes, unix: int) -> list[Decision]:
+        """Take a kernel's word on a run of an owner before: it ran, failed, or never will."""
+        copy = self.copies.get(at)
+        if copy is None or copy.share.owner != self.me or epoch > copy.share.epoch:
+            return []
+        effect = copy.table.get(copy.doubts.get(run, ""), unix)
+        if effect is None or effect.standing is not Standing.IN_DOUBT or effect.server == self.me:
+            return []
+        return self._settle(now, at, copy, effect, kind, result, unix)
+
+    def _settle(self, now: int, at: int, copy: Copy, effect: Effect, kind: Kind, result: bytes,
+                unix: int) -> list[Decision]:
+        entry = Entry(kind, effect.key, max(unix, effect.at_us), result=result)
+        copy.table.take(entry)
+        copy.doubts.pop(marks(effect.digest).id, None)
+        self._extend(copy, [entry])
+        standing = {Kind.OUTCOME: Standing.DONE, Kind.FAILED: Standing.FAILED, Kind.NEVER: Standing.FREE}[kind]
+        self.adopted += kind is not Kind.NEVER
+        self.freed += kind is Kind.NEVER
+        return [Resolved(effect.key, marks(effect.digest).id, standing, result), *self._stream(now, at, copy)]
+
+    def told(self, now: int, unix: int, sender: str, what: messages.Told) -> list[Decision]:
+        """Take the end of a run from the one that ran it as owner before."""
+        copy = self.copies.get(what.partition)
+        if copy is None or copy.share.owner != self.me or not copy.complete:
+            return []
+        effect = copy.table.get(what.entry.key, what.entry.at_us)
+        thanks = Say(sender, messages.Thanks(what.partition, what.entry.key))
+        if effect is None or effect.standing is not Standing.IN_DOUBT or effect.server != sender:
+            return [thanks]
+        return [thanks, *self._settle(now, what.partition, copy, effect, what.entry.kind, what.entry.result, unix)]
+
+    def thanked(self, what: messages.Thanks) -> None:
+        """Forget an end that the owner knows."""
+        self._telling.pop((what.partition, what.key), None)
+
+    def _tell(self, now: int, only: int | None = None) -> list[Decision]:
+        """Tell owners what became of runs of one's own."""
+        found: list[Decision] = []
+        for (at, _), entry in self._telling.items():
+            owner = self.map.shares[at].owner if at < len(self.map.shares) else ""
+            if owner not in ("", self.me) and only in (None, at):
+                found.append(Say(owner, messages.Told(at, entry)))
+        if only is None:
+            self._tell_us = now + ASK_EVERY_US // 2
+        return found[:ENTRIES_A_MESSAGE]
+
+    def ask_seen(self, now: int, unix: int, sender: str, what: messages.AskSeen) -> list[Decision]:
+        """Learn from a new owner that one's epoch is over, and say so."""
+        decisions = self._share(now, unix, what.partition, what.share)
+        known = self.copies.get(what.partition)
+        if known is None or known.share.owner != self.me:
+            decisions.append(Say(sender, messages.Seen(what.partition, what.share.epoch)))
+        return decisions
+
+    def seen(self, sender: str, what: messages.Seen) -> None:
+        """Take that the owner before knows that it is over."""
+        copy = self.copies.get(what.partition)
+        if copy is not None and copy.share.epoch == what.epoch and copy.share.before == sender:
+            copy.clear_us = 0
+
+    # Time
+
+    def passed(self, now: int, unix: int) -> list[Decision]:
+        """Send again what was not acknowledged, ask again, forget what is past its window."""
+        found: list[Decision] = []
+        for at, copy in self.copies.items():
+            if copy.share.owner != self.me:
+                continue
+            for id in copy.share.copies:
+                found += self._again(now, at, copy, id)
+            if now < copy.clear_us:
+                found.append(Say(copy.share.before, messages.AskSeen(at, copy.share)))
+            found += self._ask(now, unix, at, copy)
+        if now >= self._tell_us:
+            found += self._tell(now)
+        return found
+
+    def _again(self, now: int, at: int, copy: Copy, id: str) -> list[Decision]:
+        one = copy.transfers.get(id)
+        if one is not None:
+            if now - one.sent_us >= AGAIN_US:
+                one.sent = one.acked
+                return self._feed(now, at, copy, id)
+            return []
+        acked = copy.acked.get(id, -1)
+        late = now - copy.sent_us.get(id, now) >= AGAIN_US
+        if copy.sent.get(id, -1) < 0 and late:
+            copy.sent.pop(id, None)
+            return self._stream(now, at, copy)
+        if acked < copy.sent.get(id, -1) and late:
+            copy.sent[id], copy.sent_us[id] = acked, now
+            if acked < 0:
+                copy.sent.pop(id)
+                return self._stream(now, at, copy)
+            return self._send(now, at, copy, id)
+        return []
+
+    def sweep(self, unix: int) -> None:
+        """Forget keys past their window, at owners and copies alike."""
+        for copy in self.copies.values():
+            copy.table.sweep(unix)
+
+    def in_doubt(self, unix: int) -> list[tuple[int, Effect]]:
+        """Return what is in doubt in the partitions owned here."""
+        return [(at, effect) for at, copy in self.copies.items() if copy.share.owner == self.me
+                for effect in map(copy.table.effects.get, copy.doubts.values()) if effect is not None]
+
+
+def in_parts(entries: list[Entry]) -> list[tuple[Entry, ...]]:
+    """Spread entries over messages of bounded length."""
+    parts: list[tuple[Entry, ...]] = []
+    part: list[Entry] = []
+    size = 0
+    for one in entries:
+        if part and (len(part) >= ENTRIES_A_MESSAGE or size >= BYTES_A_MESSAGE):
+            parts.append(tuple(part))
+            part, size = [], 0
+        part.append(one)
+        size += 120 + len(one.result)
+    return [*parts, tuple(part)] if part else parts
--- /dev/null
+++ b/sagetrestle/takeover/messages.py
@@ -0,0 +1,151 @@
+"""What owners, backups and the council's leader say to each other about work in hand."""
+
+from __future__ import annotations
+
+import msgspec
+
+from sagetrestle.consensus.messages import CouncilMessage
+from sagetrestle.ownership.values import FleetMap, Place, Share
+from sagetrestle.recovery.effects import Entry
+
+ENTRIES_A_MESSAGE = 256
+BYTES_A_MESSAGE = 64 * 1024
+
+
+class Council(msgspec.Struct, frozen=True, array_like=True, tag="council"):
+    """A message of the council's log, between two of its ids; ``to`` is a plain name until it is formed."""
+
+    to: str
+    sender: str
+    message: CouncilMessage
+
+
+class Renew(msgspec.Struct, frozen=True, array_like=True, tag="renew"):
+    """A member asks for its lease, says where it is, which map it knows, and whether it is on its way out."""
+
+    number: int
+    place: Place
+    version: int
+    leaving: bool = False
+
+
+class Granted(msgspec.Struct, frozen=True, array_like=True, tag="granted"):
+    """The lease of an asking, good only for one who knows the map of this version; ``map`` where it did not."""
+
+    number: int
+    version: int
+    map: FleetMap | None = None
+
+
+class Elsewhere(msgspec.Struct, frozen=True, array_like=True, tag="elsewhere"):
+    """The one asked does not lead the council; ``leader`` is who does, as far as it knows."""
+
+    leader: str
+
+
+class MapTold(msgspec.Struct, frozen=True, array_like=True, tag="map"):
+    """The leader tells a new map."""
+
+    map: FleetMap
+
+
+class Synced(msgspec.Struct, frozen=True, array_like=True, tag="synced"):
+    """An owner tells the council's leader which joining members have all records, by partition and epoch."""
+
+    members: tuple[tuple[int, int, str], ...]
+
+
+class Base(msgspec.Struct, frozen=True, array_like=True, tag="base"):
+    """An owner begins an epoch: from position ``at`` of an earlier epoch, ``label``, on."""
+
+    partition: int
+    share: Share
+    label: int
+    at: int
+
+
+class Records(msgspec.Struct, frozen=True, array_like=True, tag="records"):
+    """Entries of a partition in an epoch, behind position ``at``."""
+
+    partition: int
+    epoch: int
+    at: int
+    entries: tuple[Entry, ...]
+
+
+class Recorded(msgspec.Struct, frozen=True, array_like=True, tag="recorded"):
+    """A copy has all up to ``at``; -1: it needs all of them."""
+
+    partition: int
+    epoch: int
+    at: int
+
+
+class Chunk(msgspec.Struct, frozen=True, array_like=True, tag="chunk"):
+    """A part of all that holds at position ``at``: number ``index`` of ``count``."""
+
+    partition: int
+    epoch: int
+    at: int
+    index: int
+    count: int
+    entries: tuple[Entry, ...]
+
+
+class Fed(msgspec.Struct, frozen=True, array_like=True, tag="fed"):
+    """A chunk was taken."""
+
+    partition: int
+    epoch: int
+    at: int
+    index: int
+
+
+class Stale(msgspec.Struct, frozen=True, array_like=True, tag="stale"):
+    """What was said was of an epoch that is over: this is the share now."""
+
+    partition: int
+    share: Share
+
+
+class Told(msgspec.Struct, frozen=True, array_like=True, tag="told"):
+    """One that owned a partition tells what became of a run of its own."""
+
+    partition: int
+    entry: Entry
+
+
+class Thanks(msgspec.Struct, frozen=True, array_like=True, tag="thanks"):
+    """The owner knows what became of this key."""
+
+    partition: int
+    key: str
+
+
+class AskSeen(msgspec.Struct, frozen=True, array_like=True, tag="ask-seen"):
+    """A new owner asks the one before whether it knows that its epoch is over."""
+
+    partition: int
+    share: Share
+
+
+class Seen(msgspec.Struct, frozen=True, array_like=True, tag="seen"):
+    """It does."""
+
+    partition: int
+    epoch: int
+
+
+FleetMessage = (Council | Renew | Granted | Elsewhere | MapTold | Synced | Base | Records | Recorded | Chunk | Fed
+                | Stale | Told | Thanks | AskSeen | Seen)
+
+
+def weight(message: FleetMessage) -> int:
+    """Return about how many bytes a message takes."""
+    match message:
+        case Records() | Chunk():
+            return 64 + sum(120 + len(one.key) + len(one.result) for one in message.entries)
+        case MapTold(known) | Granted(map=FleetMap() as known):
+            return 64 + 120 * len(known.shares) + 80 * len(known.places)
+        case _:
+            return 200
--- /dev/null
+++ b/sagetrestle/takeover/node.py
@@ -0,0 +1,446 @@
+"""One member of the fleet: its links, its seat in the council if it has one, its lease, its records. Free of I/O.
+
+The program and the simulator feed it what came and carry out what it decides, alike. ``now`` is monotonic, ``unix``
+the time of day, both in microseconds.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+import msgspec
+
+from sagetrestle.consensus import core as raft
+from sagetrestle.consensus.messages import Config, Kind
+from sagetrestle.ownership.lease import Grantor, Holder
+from sagetrestle.ownership.planner import Planner
+from sagetrestle.ownership.values import (
+    Arranged, Command, FleetMap, FleetTerms, Founded, Joined, Origin, Place, apply, name_of,
+)
+from sagetrestle.peers import links as link
+from sagetrestle.peers.frames import Answer, Ask
+from sagetrestle.recovery.effects import Entry
+from sagetrestle.recovery.effects import Kind as EntryKind
+from sagetrestle.takeover import books as book
+from sagetrestle.takeover import messages
+from sagetrestle.takeover.messages import weight
+
+SYNCED_EVERY_US = 50_000
+PLAN_EVERY_US = 50_000
+SWEEP_EVERY_US = 1_000_000
+SEAT_AFTER_US = 3_000_000  # without a word from a voter, before its name's newer store takes its seat
+KEPT_EPOCHS = 16  # a partition's, for whoever asks
+COMMAND = msgspec.msgpack.Decoder(Command)
+MAP = msgspec.msgpack.Decoder(FleetMap)
+
+
+class Persist(NamedTuple):
+    """Make this durable in the council's store, then say ``persisted``."""
+
+    write: raft.Write
+
+
+class Forget(NamedTuple):
+    """The council's store may not be used any more; begin with an empty one."""
+
+    why: str
+
+
+class Changed(NamedTuple):
+    """The map is another."""
+
+    map: FleetMap
+
+
+Decision = (link.Dial | link.Write | link.Close | Persist | Forget | Changed | book.Start | book.TurnAway
+            | book.Resolved | book.Fence | book.Note)
+
+
+@dataclass(slots=True)
+class Leading:
+    """What only the council's leader keeps."""
+
+    grantor: Grantor
+    wanting: dict[str, Place] = field(default_factory=dict)  # members that are not on the map yet
+    leaving: set[str] = field(default_factory=set)
+    synced: set[tuple[int, int, str]] = field(default_factory=set)
+    plan_us: int = 0
+
+
+class Node:
+    """One member."""
+
+    def __init__(self, place: Place, council: tuple[str, ...], terms: FleetTerms, links: link.Links,
+                 window_us: int, seat: raft.Raft | None = None) -> None:
+        self.place, self.council, self.terms, self.links = place, council, terms, links
+        self.me = place.id
+        self.books = book.Books(self.me, terms, window_us)
+        self.holder = Holder(terms.lease_us)
+        self.seat = seat
+        self.agreed = FleetMap()  # as the council's log has it here
+        self.leader = council[0]
+        self.leaving = False
+        self.lead = Leading(Grantor(terms.lease_us, terms.drift))
+        self.epochs: dict[int, deque[tuple[int, int, str]]] = defaultdict(lambda: deque(maxlen=KEPT_EPOCHS))
+        self._queue: deque[raft.Decision] = deque()
+        self._writing = 0
+        self._out: list[Decision] = []
+        self._now = self._unix = 0
+        self._granted_us = self._synced_us = self._sweep_us = 0
+
+    # What the program says
+
+    def begin(self, now: int, unix: int) -> list[Decision]:
+        """Start."""
+        self._at(now, unix)
+        if self.seat is not None:
+            self._raft(raft.Started())
+        return self._done()
+
+    def came(self, now: int, unix: int, event: link.Event) -> list[Decision]:
+        """Take what the network brought."""
+        self._at(now, unix)
+        self._links(self.links.step(now, event))
+        return self._done()
+
+    def persisted(self, now: int, unix: int, done: bool) -> list[Decision]:
+        """Take that the council's store has what it was given, or can not."""
+        self._at(now, unix)
+        last, self._writing = self._writing, 0
+        if not done:
+            self._out.append(book.Note("the council's store can not be written: this member has no voice in it"))
+        self._raft(raft.Written(last, done))
+        return self._done()
+
+    def seated(self, now: int, unix: int, seat: raft.Raft) -> list[Decision]:
+        """Take a new seat, on an empty store."""
+        self._at(now, unix)
+        self.seat, self._writing = seat, 0
+        self._queue.clear()
+        self._raft(raft.Started())
+        return self._done()
+
+    def passed(self, now: int, unix: int) -> list[Decision]:
+        """Do what time brings; due every few tens of milliseconds."""
+        self._at(now, unix)
+        self._links(self.links.passed(now))
+        if self.seat is not None:
+            self._raft(raft.Passed())
+            if raft.serving(self.seat, now):
+                self._govern()
+        if now >= self.holder.due_us:
+            self._renew()
+        self._books(self.books.passed(now, unix))
+        if now >= self._synced_us:
+            self._synced_us = now + SYNCED_EVERY_US
+            if found := self.books.synced():
+                self._say(self.leader, messages.Synced(found))
+        if now >= self._sweep_us:
+            self._sweep_us = now + SWEEP_EVERY_US
+            self.books.sweep(unix)
+        return self._done()
+
+    def leave(self, now: int, unix: int) -> list[Decision]:
+        """Be on the way out: what is owned here goes to others as soon as it can."""
+        self._at(now, unix)
+        self.leaving = True
+        self._renew()
+        return self._done()
+
+    # What the core asks; all answers are of this moment
+
+    def owns(self, at: int, now: int) -> bool:
+        """Tell whether this member may act as a partition's owner now."""
+        return self.holder.holds(now) and self.books.owns(at, now)
+
+    def record(self, now: int, unix: int, at: int, id: str, entry: Entry) -> list[Decision]:
+        """Record an intent. Raises EffectError."""
+        self._at(now, unix)
+        self._books(self.books.record(now, at, id, entry))
+        return self._done()
+
+    def ended(self, now: int, unix: int, at: int, entry: Entry) -> list[Decision]:
+        """Take what became of a run."""
+        self._at(now, unix)
+        self._books(self.books.ended(now, at, entry))
+        return self._done()
+
+    def fate(self, now: int, unix: int, at: int, epoch: int, run: str, kind: EntryKind,
+             result: bytes) -> list[Decision]:
+        """Take a kernel's word on a run of an owner before."""
+        self._at(now, unix)
+        self._books(self.books.fate(now, at, epoch, run, kind, result, unix))
+        return self._done()
+
+    # Inside
+
+    def _at(self, now: int, unix: int) -> None:
+        self._now, self._unix = now, unix
+
+    def _done(self) -> list[Decision]:
+        found, self._out = self._out, []
+        return found
+
+    def _say(self, to: str, message: messages.FleetMessage) -> None:
+        if (name_of(to) or to) == name_of(self.me):
+            if "@" not in to or to == self.me:
+                self._hear(self.me, message)
+            return
+        self._links(self.links.say(self._now, to, message, weight(message)))
+
+    def _links(self, decisions: Iterable[link.Decision]) -> None:
+        for what in decisions:
+            match what:
+                case link.Heard(sender, message):
+                    self._hear(sender, message)
+                case link.Asked(connection, ask):
+                    self._asked(connection, ask)
+                case link.Note(text):
+                    self._out.append(book.Note(text))
+                case _:
+                    self._out.append(what)
+
+    def _books(self, decisions: Iterable[book.Decision]) -> None:
+        for what in decisions:
+            if isinstance(what, book.Say):
+                self._say(what.to, what.message)
+            else:
+                self._out.append(what)
+
+    def _hear(self, sender: str, message: Any) -> None:
+        now, unix, books = self._now, self._unix, self.books
+        match message:
+            case messages.Council(to, id, said):
+                if self.seat is not None and ("#" not in to or to == self.seat.id):
+                    self._raft(raft.Received(id, said))
+            case messages.Renew():
+                self._renewed(sender, message)
+            case messages.Granted(number, version, known):
+                if known is not None:
+                    self._see(known)
+                if books.map.version >= version:
+                    self.holder.granted(number)
+                    self.leader, self._granted_us = name_of(sender), now
+            case messages.Elsewhere(leader):
+                if leader and leader != self.leader:
+                    self.leader = leader
+                    self.holder.due_us = min(self.holder.due_us, now + 10_000)
+            case messages.MapTold(known):
+                self._see(known)
+            case messages.Synced(members):
+                self.lead.synced |= set(members)
+            case messages.Base():
+                self._books(books.based(now, unix, sender, message))
+            case messages.Records():
+                self._books(books.records(sender, message))
+            case messages.Recorded():
+                self._books(books.recorded(now, sender, message))
+            case messages.Chunk():
+                self._books(books.chunk(sender, message))
+            case messages.Fed():
+                self._books(books.fed(now, sender, message))
+            case messages.Stale():
+                self._books(books.stale(now, unix, message))
+            case messages.Told():
+                self._books(books.told(now, unix, sender, message))
+            case messages.Thanks():
+                books.thanked(message)
+            case messages.AskSeen():
+                self._books(books.ask_seen(now, unix, sender, message))
+            case messages.Seen():
+                books.seen(sender, message)
+
+    def _see(self, known: FleetMap) -> None:
+        """Take a newer map: records follow it, whoever watches is told."""
+        if known.version <= self.books.map.version:
+            return
+        for at, share in enumerate(known.shares):
+            if not self.epochs[at] or self.epochs[at][-1][1] != share.epoch:
+                self.epochs[at].append((self._unix, share.epoch, share.owner))
+        self._books(self.books.see(self._now, self._unix, known))
+        self._out.append(Changed(known))
+        for connection in self.links.observers():
+            self._links(self.links.reply(connection, link.Carry(known.version, messages.MapTold(known))))
+
+    # The lease
+
+    def _renew(self) -> None:
+        now = self._now
+        number = self.holder.ask(now)
+        if now - self._granted_us > self.terms.lease_us // 2:  # the one asked may lead no more
+            self.leader = self.council[number % len(self.council)]
+            self.holder.due_us = now + int(self.terms.lease_us * 0.1)
+        self._say(self.leader, messages.Renew(number, self.place, self.books.map.version, self.leaving))
+
+    def _renewed(self, sender: str, ask: messages.Renew) -> None:
+        if ask.place.id != sender:
+            return
+        if self.seat is None or not raft.serving(self.seat, self._now):
+            leader = self.seat.leader.partition("#")[0] if self.seat is not None else ""
+            if leader != name_of(self.me):
+                self._say(sender, messages.Elsewhere(leader))
+            return
+        if self.agreed.place(sender) != ask.place:
+            self.lead.wanting[sender] = ask.place
+            return
+        if self.seat.commit < self.seat.last[0] and not self.lead.grantor.may_hold(sender, self._now):
+            return  # its work may be given away by what is not committed yet: only a map that says so may be granted on
+        (self.lead.leaving.add if ask.leaving else self.lead.leaving.discard)(sender)
+        self.lead.grantor.grant(sender, self._now)
+        known = self.agreed if ask.version < self.agreed.version else None
+        self._say(sender, messages.Granted(ask.number, self.agreed.version, known))
+
+    # The council
+
+    def _raft(self, event: raft.Event) -> None:
+        assert self.seat is not None
+        self.seat, decisions = raft.step(self.seat, self._now, event)
+        self._queue += decisions
+        while self._queue and not self._writing:
+            self._carry_out(self._queue.popleft())
+
+    def _carry_out(self, what: raft.Decision) -> None:
+        assert self.seat is not None
+        match what:
+            case raft.Write():
+                self._writing = max(1, what.last)
+                self._out.append(Persist(what))
+            case raft.Send(to, message):
+                self._say(to.partition("#")[0], messages.Council(to, self.seat.id, message))
+            case raft.Apply(entries):
+                known = self.agreed
+                for one in entries:
+                    if one.kind is Kind.COMMAND:
+                        known = apply(known, one.index, COMMAND.decode(one.data))
+                self._agree(known)
+                if self.seat.applied - self.seat.snapshot.index >= raft.SNAPSHOT_AFTER:
+                    self._raft(raft.Compact(msgspec.msgpack.encode(self.agreed)))
+            case raft.Restore(data):
+                if data:
+                    self._agree(MAP.decode(data))
+            case raft.Lead(True):
+                self.lead = Leading(Grantor(self.terms.lease_us, self.terms.drift))
+                self.lead.grantor.begin(self._now)
+                self._out.append(book.Note("leads the council"))
+            case raft.Lead(False):
+                self._out.append(book.Note("leads the council no more"))
+            case raft.Forgot(why):
+                self._out.append(Forget(why))
+
+    def _agree(self, known: FleetMap) -> None:
+        changed = known.version > self.agreed.version
+        self.agreed = known
+        self._see(known)
+        if changed and self.seat is not None and self.seat.role is raft.Role.LEADER:
+            for place in known.places:
+                if place.id != self.me:
+                    self._say(place.id, messages.MapTold(known))
+
+    def _govern(self) -> None:
+        """Do the leader's work: one entry at a time, each decided on what is committed."""
+        seat, now, lead = self.seat, self._now, self.lead
+        assert seat is not None
+        if seat.commit < seat.last[0] or now < lead.plan_us:
+            return
+        lead.plan_us = now + PLAN_EVERY_US
+        if not self.agreed.shares:
+            # Epochs grow over a council that was lost whole as well, as far as the time of day does.
+            origin = Origin.NEW if self.terms.new else Origin.LOST
+            self._propose(Founded(self.terms.partitions, (self._unix // 1_000_000) << 20, origin))
+        elif lead.wanting:
+            self._propose(Joined(lead.wanting.pop(next(iter(lead.wanting)))))
+        elif not self._reseat():
+            known = {one.id for one in self.agreed.places}
+            lead.grantor.forget(known)
+            lead.leaving &= known
+            alive = {id for id in known if lead.grantor.may_hold(id, now)}
+            plan = Planner(self.agreed, alive, lead.leaving, frozenset(lead.synced), self.terms)
+            changes, gone = plan.changes(), plan.gone()
+            lead.synced = {one for one in lead.synced if one[0] < len(self.agreed.shares)
+                           and self.agreed.shares[one[0]].epoch == one[1]}
+            if changes or gone:
+                self._propose(Arranged(changes, gone))
+
+    def _propose(self, command: Command) -> None:
+        self._raft(raft.Propose(msgspec.msgpack.encode(command)))
+
+    def _reseat(self) -> bool:
+        """Give the seat of a voter whose store is gone to the one that its name has now, as a learner first."""
+        seat, now = self.seat, self._now
+        assert seat is not None
+        if not raft.can_change(seat):
+            return False
+        config = seat.config
+        for id in config.learners:
+            known = seat.progress.get(id)
+            if known is not None and known.match >= seat.commit - 1 and now - known.heard_us < SEAT_AFTER_US:
+                others = tuple(one for one in config.learners if one != id)
+                self._raft(raft.Change(Config((*config.voters, id), others)))
+                return True
+            if known is not None and now - max(known.heard_us, seat.led_us) > SEAT_AFTER_US:
+                self._raft(raft.Change(Config(config.voters, tuple(one for one in config.learners if one != id))))
+                return True
+        for id, at in seat.fresh.items():
+            name = id.partition("#")[0]
+            if name not in self.council or id in config.members or now - at > SEAT_AFTER_US:
+                continue
+            old = next((one for one in config.voters if one.partition("#")[0] == name), None)
+            heard = seat.progress[old].heard_us if old in seat.progress else seat.led_us
+            silent = old is None or now - max(heard, seat.led_us) > SEAT_AFTER_US
+            if silent and len(config.learners) < 2:
+                voters = tuple(one for one in config.voters if one != old)
+                learners = tuple(one for one in config.learners if one.partition("#")[0] != name)
+                self._raft(raft.Change(Config(voters, (*learners, id))))
+                return True
+        return False
+
+    # Whoever asks
+
+    def _asked(self, connection: int, ask: Ask | None) -> None:
+        if ask is None:
+            known = self.books.map
+            if known.version:
+                self._links(self.links.reply(connection, link.Carry(known.version, messages.MapTold(known))))
+            return
+        told = self.status() if ask.what == "status" else self.explain(ask.key)
+        self._links(self.links.reply(connection, Answer(msgspec.json.encode(told))))
+
+    def status(self) -> dict[str, Any]:
+        """Return how things stand here, in plain values."""
+        now, unix, known = self._now, self._unix, self.books.map
+        owned = [at for at, copy in self.books.copies.items() if copy.share.owner == self.me]
+        council: dict[str, Any] = {}
+        if self.seat is not None:
+            council = {"id": self.seat.id, "role": self.seat.role.value, "term": self.seat.term,
+                       "leader": self.seat.leader, "voters": self.seat.config.voters,
+                       "learners": self.seat.config.learners, "commit": self.seat.commit}
+        return {
+            "member": self.me, "zone": self.place.zone, "council": council, "map": known.version,
+            "lease_ms": max(0, self.holder.until_us - now) // 1000, "partitions": len(known.shares),
+            "owned": len(owned), "ready": sum(self.owns(at, now) and self.books.recordable(at) for at in owned),
+            "unowned": [at for at, one in enumerate(known.shares)
+                        if known.place(one.owner) is None or len(one.backups) < self.terms.least],
+            "epochs": [min((one.epoch for one in known.shares), default=0),
+                       max((one.epoch for one in known.shares), default=0)],
+            "taken_over": self.books.taken_over, "adopted": self.books.adopted, "freed": self.books.freed,
+            "in_doubt": [book.marks(one.digest).key for _, one in self.books.in_doubt(unix)][:100],
+            "links": {name: {"up": out.peer, "sent": out.sent, "unacknowledged": out.bytes_out,
+                             "dropped": out.dropped, "phi": round(self.links.detectors[name].phi(now), 1)}
+                      for name, out in self.links.out.items()}}
+
+    def explain(self, key: str) -> dict[str, Any]:
+        """Return who owned a key when, and what is known of it here."""
+        if not self.books.map.shares:
+            return {"key": key, "why": "no map is known"}
+        at, share = self.books.share_of(key)
+        copy = self.books.copies.get(at)
+        found = [{"run": said.id, "class": said.cls, "tenant": said.tenant, "standing": one.standing.value,
+                  "at": one.at_us, "ran_at": one.server, "result_bytes": len(one.result)}
+                 for one in (copy.table.effects.values() if copy is not None else ())
+                 if one.digest and (said := book.marks(one.digest)).key == key]
+        return {"key": key, "partition": at, "epoch": share.epoch, "owner": share.owner, "backups": share.backups,
+                "here": self.me, "epochs": list(self.epochs[at]), "runs": found,
+                "lost": copy.table.lost_us if copy is not None else None}
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -46,7 +46,10 @@
              "handover": (*IO, *TOOLS, "identity", "membership", "router"),
              "identity": (*IO, *TOOLS, "membership"), "limits": (*IO, *TOOLS, "identity"),
              "store": ("twisted", "net", *TOOLS),
-             "consensus": (*SEEDED, *TOOLS, "identity", "limits", "membership", "router")}
+             "consensus": (*SEEDED, *TOOLS, "identity", "limits", "membership", "router"),
+             "peers": (*SEEDED, *TOOLS, "identity", "limits", "consensus", "takeover"),
+             "ownership": (*IO, *TOOLS, "identity", "limits", "peers", "consensus", "takeover"),
+             "takeover": (*IO, *TOOLS, "identity", "limits", "router")}
 
 
 class LayersTest(unittest.TestCase):
--- /dev/null
+++ b/tests/takeover/test_fleet_model.py
@@ -0,0 +1,77 @@
+"""The parts between processes together, over loss, cuts, stops and deaths, each run from one seed.
+
+At every step: no charge has run twice, no two members own a partition, no answer differs from another of its key.
+"""
+
+import unittest
+
+from tests.takeover.world import World
+
+
+class FleetModelTest(unittest.TestCase):
+    """A fleet of five with a council of three."""
+
+    def test_all_partitions_get_owners_and_charges_are_served(self):
+        world = World(1)
+        self.assertTrue(world.run(10, world.ready))
+        for number in range(40):
+            world.charge(f"K{number}")
+        self.assertTrue(world.run(5, lambda: len(world.served) == 40), world.outcomes)
+
+    def test_seeds(self):
+        served = asked = faults = 0
+        for seed in range(12):
+            with self.subTest(seed):
+                world = World(seed)
+                self.assertTrue(world.run(15, world.ready))
+                asked += self.campaign(world)
+                served += len(world.served)
+                faults += world.faults
+        self.assertGreater(served, 0.55 * asked, (served, asked, faults))
+
+    def campaign(self, world, steps=40):
+        """Trouble while charges come; then all heals, and full service has to return."""
+        rng, number, world.faults = world.rng, 0, 0
+        for _ in range(steps):
+            self.trouble(world)
+            for _ in range(3):
+                number += 1
+                world.charge(f"K{number}")
+            world.run(rng.uniform(0.1, 0.5))
+        world.loss = world.pause = 0.0
+        world.heal()
+        for one in world.members.values():
+            one.go_on()
+            if not one.up:
+                one.begin()
+        self.assertTrue(world.run(20, world.ready), "no full service after the last fault")
+        world.run(5)
+        return number
+
+    @staticmethod
+    def trouble(world):
+        rng = world.rng
+        one = rng.choice(list(world.members.values()))
+        up = sum(other.up and not other.stopped for other in world.members.values())
+        what = rng.randrange(9)
+        world.faults += 1
+        if what == 0 and one.up and up > 3:
+            one.die(kernel=rng.random() < 0.5)
+        elif what == 1 and not one.up:
+            one.begin()
+        elif what == 2 and one.up and not one.stopped and up > 3:
+            one.stop()
+            world.later(rng.randint(200_000, 4_000_000), one.go_on)
+        elif what == 3:
+            world.part((a, b) for a in world.names for b in world.names if rng.random() < 0.2)
+        elif what == 4:
+            world.heal()
+        elif what == 5:
+            some = rng.sample(world.names, 2)
+            world.part((a, b) for a in world.names for b in world.names if (a in some) != (b in some))
+        elif what == 6:
+            world.loss = rng.choice([0.0, 0.05, 0.3])
+        elif what == 7:
+            world.pause = rng.choice([0.0, 0.2])
+        else:
+            world.faults -= 1
--- /dev/null
+++ b/tests/takeover/world.py
@@ -0,0 +1,372 @@
+"""A small fleet in one process: members as they are; network, clocks, disks, kernels and callers of the model."""
+
+import heapq
+import random
+from collections import Counter, defaultdict
+
+from sagetrestle.consensus import core as raft
+from sagetrestle.ownership.values import FleetTerms, Place, partition_of
+from sagetrestle.peers import links
+from sagetrestle.recovery.effects import EffectError, Entry, Kind
+from sagetrestle.takeover import books, node
+from sagetrestle.takeover.judge import Word, effect_key, judge
+from tests.consensus.world import Store
+
+S = 1_000_000
+WINDOW_US = 30 * S
+UNIX = 1_796_000_000 * S
+
+
+class Kernel:
+    """Runs what it is told, and refuses a token of an epoch before the newest that it knows."""
+
+    def __init__(self, world, name):
+        self.world, self.name, self.up = world, name, True
+        self.epochs, self.runs, self.waiting = Counter(), {}, defaultdict(list)
+
+    def start(self, run, key, token, done):
+        partition, epoch, _ = token
+        if not self.up or epoch < self.epochs[partition] or run in self.runs:
+            return
+        self.epochs[partition] = epoch
+        self.runs[run] = "running"
+        self.world.ran[key].append((self.world.now, self.name, token))
+        self.world.later(self.world.rng.randint(5_000, 60_000), self.over, run, done)
+
+    def over(self, run, done):
+        if self.up:
+            self.runs[run] = "done"
+            done(run)
+            for told in self.waiting.pop(run, []):
+                told(run, Kind.OUTCOME)
+
+    def fence(self, partition, epoch, runs, told):
+        if not self.up or epoch < self.epochs[partition]:
+            return
+        self.epochs[partition] = epoch
+        for run in runs:
+            if self.runs.get(run) == "running":
+                self.waiting[run].append(told)
+            else:
+                told(run, Kind.OUTCOME if run in self.runs else Kind.NEVER)
+
+
+class Process:
+    """One member over its lives; a stopped one takes nothing until it goes on, and then all of it."""
+
+    def __init__(self, world, name, zone):
+        self.world, self.name, self.zone, self.lives = world, name, zone, 0
+        self.rate = 1.0 + world.rng.uniform(-1, 1) * world.terms.drift / 2
+        self.store, self.kernel = Store(), Kernel(world, name)
+        self.identity, self.up, self.stopped = f"{name}#0", False, False
+        self.begin()
+
+    def now(self):
+        return int(self.world.now * self.rate)
+
+    def begin(self):
+        self.lives += 1
+        self.up, self.stopped, self.backlog = True, False, []
+        world, council = self.world, self.world.council
+        boot = world.now // 1000 + self.lives
+        if not self.kernel.up:
+            self.kernel = Kernel(world, self.name)
+        world.kernels[f"{self.name}-{boot}"] = self.kernel
+        place = Place(f"{self.name}@{boot}", self.zone, 1, f"{self.name}-{boot}")
+        seat = self.seat() if self.name in council else None
+        one = links.Links("test", place.id, world.names, world.seed + self.lives, self.now())
+        self.node = node.Node(place, council, world.terms, one, WINDOW_US, seat)
+        self.tries, self.count = {}, 0
+        self.act("begin")
+
+    def seat(self):
+        return raft.begin(self.identity, self.world.council, raft.Terms(), self.world.seed + self.lives, self.now(),
+                          self.store.term, self.store.vote, self.store.log, self.store.snapshot)
+
+    def act(self, name, *args):
+        """Have the member do something, or once it goes on; what it decides is carried out in order."""
+        if not self.up:
+            return
+        if self.stopped:
+            if name != "passed":
+                self.backlog.append((name, args))
+            return
+        try:
+            decisions = getattr(self.node, name)(self.now(), UNIX + self.world.now, *args)
+        except EffectError:
+            return
+        for what in decisions:
+            self.carry_out(what)
+
+    def later(self, wait, name, *args):
+        lives = self.lives
+        self.world.later(wait, lambda: self.lives == lives and self.act(name, *args))
+
+    def carry_out(self, what):
+        world = self.world
+        match what:
+            case links.Dial(name):
+                world.dial(self, name)
+            case links.Write(connection, frame):
+                world.write(connection, frame)
+            case links.Close(connection):
+                world.close(connection)
+            case node.Persist(write):
+                lives = self.lives
+                self.world.later(world.rng.randint(100, 5_000), lambda: self.persisted(write, lives))
+            case node.Forget():
+                self.store, self.identity = Store(), f"{self.name}#{self.lives}.{world.now}"
+                self.later(1_000, "seated", self.seat())
+            case books.Start(id, token):
+                self.started(id, token)
+            case books.TurnAway(id):
+                self.answer(id, "refused")
+            case books.Resolved(_, run, standing, result):
+                for id in [id for id, one in self.tries.items() if one[2] == run]:
+                    self.answer(id, "served" if standing.value == "ran" else "refused", result)
+            case books.Fence(place, partition, epoch, runs):
+                kernel = world.kernels.get(place.kernel)
+                if kernel is not None and not world.parted(self.name, kernel.name):
+                    kernel.fence(partition, epoch, runs, lambda run, kind: self.later(
+                        500, "fate", partition, epoch, run, kind, run.encode() if kind is Kind.OUTCOME else b""))
+
+    def persisted(self, write, lives):
+        if self.up and lives == self.lives:
+            self.store.write(write)
+            self.act("persisted", True)
+
+    # Callers' side
+
+    def ask(self, key, tell):
+        """Take a try of a charge."""
+        if not self.up:
+            tell("broken")
+        elif self.stopped:
+            self.backlog.append((None, (key, tell)))
+        else:
+            self.take(key, tell)
+
+    def take(self, key, tell):
+        if not self.node.books.map.shares:
+            tell("refused")
+            return
+        self.count += 1
+        id = f"{self.node.me}-{self.count}"
+        unix = UNIX + self.world.now
+        what = books.Marks(id, "paid", "t", key, b"d")
+        verdict = judge(self.node, self.now(), what, unix)
+        match verdict.word:
+            case Word.SERVE:
+                tell("served", verdict.effect.result)
+            case Word.ASKED | Word.RUNS:
+                self.tries[id] = (key, tell, books.marks(verdict.effect.digest).id)
+            case Word.FREE:
+                self.tries[id] = (key, tell, id)
+                entry = Entry(Kind.INTENT, effect_key("paid", "t", key), unix, self.node.me, 0, books.mark(what))
+                self.act("record", verdict.partition, id, entry)
+            case Word.ELSEWHERE | Word.NOT_YET:
+                tell("refused")
+            case _:
+                tell("failed")
+
+    def started(self, id, token):
+        if id not in self.tries:
+            return
+        key, lives = self.tries[id][0], self.lives
+        if self.world.rng.random() < self.world.pause:
+            self.stop()  # between the record and the command
+            self.world.later(self.world.rng.randint(500_000, 3 * S), self.go_on)
+        self.command(id, key, token, lives)
+
+    def command(self, id, key, token, lives):
+        if self.lives != lives or not self.up:
+            return
+        if self.stopped:
+            self.backlog.append(("command", (id, key, token, lives)))
+            return
+        self.kernel.start(id, key, token, lambda run: self.finished(run, key, lives))
+
+    def finished(self, run, key, lives):
+        if self.lives != lives or not self.up:
+            return
+        if self.stopped:
+            self.backlog.append(("finished", (run, key, lives)))
+            return
+        at = partition_of(key, self.world.terms.partitions)
+        entry = Entry(Kind.OUTCOME, effect_key("paid", "t", key), UNIX + self.world.now, result=run.encode())
+        self.act("ended", at, entry)
+        for id in [id for id, one in self.tries.items() if one[2] == run]:
+            self.answer(id, "served", run.encode())
+
+    def answer(self, id, how, result=b""):
+        one = self.tries.pop(id, None)
+        if one is not None:
+            one[1](how, result)
+
+    # Faults
+
+    def die(self, kernel=False):
+        self.up = False
+        if kernel:
+            self.kernel.up = False
+        self.world.cut_off(self)
+
+    def stop(self):
+        self.stopped = True
+
+    def go_on(self):
+        if not self.stopped:
+            return
+        self.stopped = False
+        backlog, self.backlog = self.backlog, []
+        for name, args in backlog:
+            if name is None:
+                self.take(*args)
+            elif name in ("command", "finished"):
+                getattr(self, name)(*args)
+            else:
+                self.act(name, *args)
+
+
+class World:
+    """All of it, from one seed."""
+
+    def __init__(self, seed, size=5, council=3, terms=None, zones=1):
+        self.seed, self.rng, self.now, self.count = seed, random.Random(seed), 0, 0
+        self.terms = terms or FleetTerms(partitions=8, new=True)
+        self.mail, self.ends, self.held, self.cut, self.loss, self.pause = [], {}, [], set(), 0.0, 0.0
+        self.ran, self.served, self.outcomes, self.kernels = defaultdict(list), {}, Counter(), {}
+        self.names = tuple(f"n{at}" for at in range(size))
+        self.council = self.names[:council]
+        self.members = {}
+        for at, name in enumerate(self.names):
+            self.members[name] = Process(self, name, f"z{at % zones}")
+
+    def later(self, wait, act, *args):
+        self.count += 1
+        heapq.heappush(self.mail, (self.now + wait, self.count, act, args))
+
+    # The network: what is cut is held, and comes when it heals
+
+    def parted(self, start, end):
+        return (start, end) in self.cut
+
+    def dial(self, process, name):
+        there = self.members[name]
+        self.count += 1
+        mine, theirs = 2 * self.count, 2 * self.count + 1
+        if not there.up:
+            process.later(1_000, "came", links.Dialled(name, None))
+            return
+        self.ends[mine], self.ends[theirs] = (process, process.lives, theirs), (there, there.lives, mine)
+        process.later(1_000, "came", links.Dialled(name, mine))
+
+    def write(self, connection, frame):
+        if connection not in self.ends:
+            return
+        here, _, other = self.ends[connection]
+        if other not in self.ends:
+            return
+        there = self.ends[other][0]
+        message = getattr(frame, "message", None)
+        if message is not None and self.rng.random() < self.loss:
+            return
+        for _ in range(1 + (message is not None and self.rng.random() < self.loss)):
+            self.deliver(here.name, there.name, other, frame)
+
+    def deliver(self, start, end, connection, frame):
+        if self.parted(start, end):
+            self.held.append((start, end, connection, frame))
+            return
+        # In order on one connection: time moves on by little for each.
+        self.order = max(getattr(self, "order", 0) + 1, self.now + self.rng.randint(100, 1_500))
+        self.count += 1
+        heapq.heappush(self.mail, (self.order, self.count, self.arrive, (connection, frame)))
+
+    def arrive(self, connection, frame):
+        if connection in self.ends:
+            process, lives, _ = self.ends[connection]
+            if process.lives == lives:
+                process.act("came", links.Came(connection, (frame,)))
+
+    def close(self, connection):
+        _, _, other = self.ends.pop(connection, (None, None, None))
+        if other in self.ends:
+            process, lives, _ = self.ends.pop(other)
+            if process.lives == lives:
+                process.later(1_000, "came", links.Lost(other))
+
+    def cut_off(self, process):
+        for number in [number for number, one in self.ends.items() if one[0] is process]:
+            self.close(number)
+
+    def part(self, pairs):
+        self.cut = set(pairs)
+
+    def heal(self):
+        self.cut = set()
+        held, self.held = self.held, []
+        for one in held:
+            self.deliver(*one)
+
+    # Time and callers
+
+    def run(self, seconds, until=None):
+        end = self.now + int(seconds * S)
+        while self.now < end:
+            step = self.now + 20_000
+            while self.mail and self.mail[0][0] <= step:
+                self.now, _, act, args = heapq.heappop(self.mail)
+                act(*args)
+            self.now = step
+            for one in self.members.values():
+                one.act("passed")
+            self.check()
+            if until is not None and until():
+                return True
+        return until is None
+
+    def ready(self):
+        """Tell whether every partition has an owner that may take charges."""
+        owners = Counter(at for one in self.members.values() if one.up and not one.stopped
+                         for at in one.node.books.copies
+                         if one.node.owns(at, one.now()) and one.node.books.recordable(at))
+        return set(owners) == set(range(self.terms.partitions))
+
+    def charge(self, key, tries=12):
+        """Ask for a charge as a caller does: by some member's map, again and again."""
+        member = self.rng.choice([one for one in self.members.values()])
+        owner = member.node.books.share_of(key)[1].owner if member.node.books.map.shares else ""
+        name = owner.rpartition("@")[0] if self.rng.random() < 0.9 else self.rng.choice(self.names)
+        told = []
+
+        def tell(how, result=b""):
+            if told:
+                return
+            told.append(how)
+            self.outcomes[how] += 1
+            if how == "served":
+                first = self.served.setdefault(key, result)
+                assert first == result, f"{key} was answered {first} and {result}"
+                assert len(self.ran[key]) == 1, f"{key} was served and ran {len(self.ran[key])} times"
+            elif tries > 1:
+                self.later(self.rng.randint(100_000, 500_000), self.charge, key, tries - 1)
+
+        self.later(2 * S, lambda: tell("silent"))
+        (self.members.get(name) or member).ask(key, tell)
+        if tries > 1 and self.rng.random() < 0.1:  # a caller that can not wait, through another front end
+            self.later(self.rng.randint(0, 20_000), self.charge, key, 1)
+
+    # What has to hold
+
+    def check(self):
+        for key, runs in self.ran.items():
+            assert len(runs) <= 1, f"{key} ran {runs}"
+        owners = {}
+        for one in self.members.values():
+            if not one.up or one.stopped:
+                continue
+            for at, copy in one.node.books.copies.items():
+                if one.node.owns(at, one.now()):
+                    other = owners.setdefault(at, (copy.share.epoch, one.node.me))
+                    assert other[1] == one.node.me, f"partition {at} at {self.now}: {other} and {one.node.me}"
