--- a/sagetrestle/lab/faults.py
+++ b/sagetrestle/lab/faults.py
@@ -87,18 +87,21 @@
         loop = asyncio.get_running_loop()
         passing = asyncio.ensure_future(self._pass(line, writer, way))
         held = b""
-        with contextlib.suppress(OSError):
-            while data := await reader.read(CHUNK):
-                pieces, held = _frames(held + data) if self.framed else ([data], b"")
-                for piece in pieces:
-                    now = getattr(self, way)
-                    if self.rng.random() < now.lose:
-                        continue
-                    due = loop.time() + now.delay_s + self.rng.random() * now.jitter_s
-                    for _ in range(1 + (self.rng.random() < now.repeat)):
-                        await line.put((due, piece))
-        await line.put(None)
-        await passing
+        try:
+            with contextlib.suppress(OSError):
+                while data := await reader.read(CHUNK):
+                    pieces, held = _frames(held + data) if self.framed else ([data], b"")
+                    for piece in pieces:
+                        now = getattr(self, way)
+                        if self.rng.random() < now.lose:
+                            continue
+                        due = loop.time() + now.delay_s + self.rng.random() * now.jitter_s
+                        for _ in range(1 + (self.rng.random() < now.repeat)):
+                            await line.put((due, piece))
+            await line.put(None)
+            await passing
+        finally:
+            passing.cancel()
 
     async def _pass(self, line: asyncio.Queue[tuple[float, bytes] | None], writer: asyncio.StreamWriter,
                     way: str) -> None:
--- a/sagetrestle/lab/kernel.py
+++ b/sagetrestle/lab/kernel.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 STEP_S = 0.004
 
@@ -21,6 +21,7 @@
     cls: str
     body: bytes
     at: float
+    token: tuple[int, int, str] | None = None  # partition, epoch, owner
 
 
 class Ended(NamedTuple):
@@ -37,6 +38,7 @@
     calls_at_s: list[float]  # of the work left, the next one last
     paused: bool = False
     calling: bool = False
+    fenced: bool = False  # it has a token: what becomes of it is kept
 
 
 class EmulatedKernel:
@@ -55,17 +57,26 @@
         self.ends: list[Ended] = []
         self.preempted = asyncio.Event()
         self.serial, self.busy_s = 0, 0.0
+        self.refused: list[Started] = []  # commands of an epoch that was over
+        self._epochs: dict[int, int] = {}
+        self._fates: dict[str, tuple[str, bytes]] = {}
+        self._adopted: dict[str, list[tuple[asyncio.StreamWriter, int, int]]] = {}
         self._writer: asyncio.StreamWriter | None = None
         self._working: asyncio.Task[None] | None = None
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one link; a newer one takes its place. Runs go on without one."""
-        self._writer = writer
+        """Serve one link, in the place of the one before, or one that asks after runs. Runs go on without a link."""
         if self._working is None:
             self._working = asyncio.create_task(self._work())
         try:
             while line := await reader.readline():
-                self._take(json.loads(line))
+                got = json.loads(line)
+                if got["msg"] == "FENCE":
+                    self._fence(writer, got["part"], got["epoch"], got["calls"])
+                    continue
+                if got["msg"] == "OPEN":
+                    self._writer = writer
+                self._take(got)
         except ConnectionError:
             pass  # a scorer that was killed
         writer.close()
@@ -78,7 +89,27 @@
         if self._writer is not None:
             self._writer.transport.abort()
 
-    def _take(self, got: dict[str, str]) -> None:
+    def _fence(self, asker: asyncio.StreamWriter, partition: int, epoch: int, calls: list[str]) -> None:
+        """Refuse this partition's commands of an epoch before from now on, and tell what became of its runs."""
+        if epoch < self._epochs.get(partition, 0):
+            return
+        self._epochs[partition] = epoch
+        told = []
+        for call in calls:
+            if call in self._runs:
+                self._runs[call].paused = False  # whoever paused it can not resume it any more
+                self._adopted.setdefault(call, []).append((asker, partition, epoch))
+            else:
+                told.append((call, *self._fates.get(call, ("never", b""))))
+        self._tell_fates(asker, partition, epoch, told)
+
+    @staticmethod
+    def _tell_fates(asker: asyncio.StreamWriter, partition: int, epoch: int,
+                    fates: list[tuple[str, str, bytes]]) -> None:
+        rows = [(call, how, base64.b64encode(blob).decode()) for call, how, blob in fates]
+        asker.write(json.dumps({"msg": "FATES", "part": partition, "epoch": epoch, "fates": rows}).encode() + b"\n")
+
+    def _take(self, got: dict[str, Any]) -> None:
         call = got.get("call", "")
         run = self._runs.get(call)
         match got["msg"]:
@@ -88,7 +119,8 @@
                 use = min(1.0, len(self._on_cores()) / self.cores)
                 self._tell(msg="INFO", cookie=got["cookie"], stats=[use, len(self._on_cores()), 0.1, 5])
             case "SCHED" if run is None:
-                self._start(call, got["service"], base64.b64decode(got["blob"]))
+                token = got.get("fence")
+                self._start(call, got["service"], base64.b64decode(got["blob"]), tuple(token) if token else None)
             case "RESCHED" if run is not None:
                 run.paused = False
             case "PREEMPT" if run is not None and not run.paused and not run.calling:
@@ -98,13 +130,21 @@
             case "IODONE" if run is not None:
                 run.calling = False
 
-    def _start(self, call: str, cls: str, body: bytes) -> None:
-        self.starts.append(Started(call, cls, body, time.monotonic()))
+    def _start(self, call: str, cls: str, body: bytes, token: tuple[int, int, str] | None) -> None:
+        started = Started(call, cls, body, time.monotonic(), token)
+        if token is not None:
+            if token[1] < self._epochs.get(token[0], 0) or call in self._fates:
+                self.refused.append(started)
+                self._tell(msg="EINVAL", how="SCHED", call=call)
+                return
+            self._epochs[token[0]] = token[1]
+        self.starts.append(started)
         mean = self._work_s[cls] if isinstance(self._work_s, Mapping) else self._work_s
         work = mean * self._rng.uniform(1 - self._spread, 1 + self._spread)
         often = self._calls.get(cls, 0.0)
         count = int(often) + (self._rng.random() < often % 1)
-        self._runs[call] = _Run(work, sorted(self._rng.uniform(0.1, 0.9) * work for _ in range(count)))
+        calls = sorted(self._rng.uniform(0.1, 0.9) * work for _ in range(count))
+        self._runs[call] = _Run(work, calls, fenced=token is not None)
 
     def _on_cores(self) -> list[str]:
         return [call for call, run in self._runs.items() if not run.paused and not run.calling]
@@ -131,6 +171,10 @@
             self._tell(msg="IOREQ", serial=self.serial, call=call, blob=base64.b64encode(b"call").decode())
         elif run.left_s <= 0:
             del self._runs[call]
+            if run.fenced:
+                self._fates[call] = ("done", b"result of " + call.encode())
+                for asker, partition, epoch in self._adopted.pop(call, ()):
+                    self._tell_fates(asker, partition, epoch, [(call, *self._fates[call])])
             self._end(call, "done", b"result of " + call.encode())
 
     def _end(self, call: str, how: str, blob: bytes) -> None:
--- a/sagetrestle/lab/processes.py
+++ b/sagetrestle/lab/processes.py
@@ -22,6 +22,7 @@
 from sagetrestle.lab.place import HERE, Place
 from sagetrestle.lab.routed import RoutedSender, RouterChooser
 from sagetrestle.lab.scorer import ROOT, ScorerProcess
+from sagetrestle.lab.fleet import reactor_here
 from sagetrestle.net.program.discovery import MembershipHost
 
 GIVE_UP_S = 8.0  # how long a caller goes on with a charge, from its first try
@@ -45,18 +46,22 @@
     host: MembershipHost
     router: RouterChooser
     sender: RoutedSender
+    watch: Any = None  # of who owns what, where the fleet is on
 
 
 class Rig(Fleet):
     """Scorers ``n0``, ``n1``, ..., callers ``f0``, ``f1``, ..., and what can be done to them.
 
-    ``root`` is the tree of the program that they run: an earlier revision's is a baseline.
+    ``root`` is the tree of the program that they run: an earlier revision's is a baseline. ``fleet`` has the lines of
+    ``deploy/fleet.toml`` beside those of names and addresses; None: it is off. ``zones`` deals the members out.
     """
 
     def __init__(self, folder: Path, size: int, place: Place, fronts: int = 2, seed: int = 1,
-                 root: Path = ROOT) -> None:
+                 root: Path = ROOT, fleet: dict[str, Any] | None = None, council: int = 3, zones: int = 1) -> None:
         super().__init__(folder, size, place, seed=seed)
-        self._fronts, self._root = fronts, root
+        self._fronts, self._root, self._fleet, self._zones = fronts, root, fleet, zones
+        self.names = [f"n{at}" for at in range(size)]
+        self.council = self.names[:council]
         self.machines: dict[str, Machine] = {}
         self.links = Links(seed)
         self.callers: list[Caller] = []
@@ -65,13 +70,47 @@
 
     async def start(self) -> Rig:
         """Start all, and wait until each caller knows all members."""
+        if self._fleet is not None:
+            for start in [*self.names, *(f"f{at}" for at in range(self._fronts))]:
+                for end in self.names:
+                    if start != end:
+                        await self.links.between(start, end)
         await super().start()
         for at in range(self._fronts):
             host, chooser = await product(self, True, self._seed + at)
             sender = RoutedSender(chooser, self, self._seed + at, self.history, f"f{at}")
-            self.callers.append(Caller(f"f{at}", host, chooser, sender))
+            self.callers.append(Caller(f"f{at}", host, chooser, sender, self._watch(f"f{at}", chooser)))
+        if self._fleet is not None:
+            await self.settled()
         return self
 
+    async def settled(self, seconds: float = 20.0) -> None:
+        """Wait until every partition has its owner and backups, and every caller knows it."""
+        wanted = min(int((self._fleet or {}).get("backups", 2)), self.size - len(self.down) - 1)
+        async with asyncio.timeout(seconds):
+            while not all(one.watch.known.shares and all(
+                    share.owner and len(share.backups) >= wanted and not share.joining
+                    for share in one.watch.known.shares) for one in self.callers):
+                await asyncio.sleep(0.02)
+
+    def _watch(self, name: str, chooser: RouterChooser) -> Any:
+        """Have a caller's router follow who owns what, by links of its own."""
+        if self._fleet is None:
+            return None
+        from sagetrestle.net.program.fleet import FleetWatch, owner_names
+        addresses = {end: (HERE, self.links.all[(name, end)].port) for end in self.names}
+        watch = FleetWatch(reactor_here(), "lab", name, addresses,
+                           lambda known: chooser.router.own(owner_names(known) if known.shares else None))
+        watch.start()
+        return watch
+
+    def _fleet_toml(self, name: str) -> str:
+        rows = {"fleet": "lab", "listen": f"{HERE}:0", "zone": f"z{int(name[1:]) % self._zones}",
+                "council": self.council, "kernel_fences": True, **(self._fleet or {})}
+        members = "".join(f'[[members]]\nname = "{end}"\naddress = "{HERE}:'
+                          f'{self.links.all[(name, end)].port if end != name else 1}"\n' for end in self.names)
+        return toml_of(rows) + members
+
     # Processes
 
     async def begin(self, name: str, fresh: bool = False) -> ScorerProcess:
@@ -86,15 +125,19 @@
             self.kernels.append(kernel)
             self.machines[name] = Machine(kernel, *await listen(kernel.serve))
         scorer = self._scorer(name, home)
-        await scorer.start(fronts=1)
+        await scorer.start(fronts=1 if self._fleet is None else 2)
+        if self._fleet is not None:
+            self.links.to(name, scorer.ports["fleet"])
         self.scorers[name] = scorer
         self.down.discard(name)
         return scorer
 
     def _scorer(self, name: str, home: Path) -> ScorerProcess:
         machine = self.machines[name]
-        publish = self.publishing()
-        return ScorerProcess(home, machine.kernel, self.place.settings(), {"discovery.toml": publish}, name,
+        files = {"discovery.toml": self.publishing()}
+        if self._fleet is not None:
+            files["fleet.toml"] = self._fleet_toml(name)
+        return ScorerProcess(home, machine.kernel, self.place.settings(), files, name,
                              self._root, {"kernel": f"{HERE}:{machine.port}"})
 
     def lose(self, name: str) -> None:
@@ -118,6 +161,8 @@
         """End everything."""
         for one in self.callers:
             one.host.stop()
+            if one.watch is not None:
+                one.watch.stop()
         for name in self.scorers:
             self.go_on(name)
         await super().close()
@@ -144,7 +189,7 @@
     def finished(self) -> History:
         """Return the history with what ran on all machines there were."""
         kernels = [*((name, one.kernel) for name, one in self.machines.items()), *self._lost]
-        self.history.ran = [Ran(one.body.decode(), one.call, one.at, name) for name, kernel in kernels
+        self.history.ran = [Ran(one.body.decode(), one.call, one.at, name, one.token) for name, kernel in kernels
                             for one in kernel.starts if one.body.startswith(b"charge")]
         return self.history
 
--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from sagetrestle.net.program.discovery import DiscoveryConfig
+    from sagetrestle.net.program.fleet import FleetConfig
     from sagetrestle.net.program.identity import IdentityConfig
 
 SCGI_KEYS = {"listen", "dns_listen", "domain", "instance", "held_kb"}
@@ -50,6 +51,7 @@
     scgis: Address | None = None  # the SCGI front with TLS, which identity.toml sets
     limits: Limits = LEAST
     discovery: DiscoveryConfig | None = None
+    fleet: FleetConfig | None = None
     management: Address | None = None  # the second address
     shared: Path | None = None  # the folder that two processes of this scorer share
 
@@ -60,6 +62,7 @@
     "stop_ms": lambda one: one.plan.stop_us, "limits": lambda one: one.plan.bounds,
     "settings": lambda one: (one.plan.settings, one.plan.gauges), "scgi.toml": lambda one: one.scgi,
     "discovery.toml": lambda one: one.discovery,
+    "fleet.toml": lambda one: one.fleet,
     "management": lambda one: one.management,
     "identity.toml": lambda one: (one.identity and one.identity.file, one.scgis),
 }
@@ -71,16 +74,30 @@
 
 
 def read_config(env: Mapping[str, str], scgi_file: Path, identity_file: Path | None = None,
-                discovery_file: Path | None = None) -> Config:
+                discovery_file: Path | None = None, fleet_file: Path | None = None) -> Config:
     """Read the file that the environment names; name and address in the environment go first."""
     config = _read_platform(env, scgi_file)
     if identity_file is not None and identity_file.exists():
         config = with_identity(config, identity_file)
     if discovery_file is not None and discovery_file.exists():
         config = _with_discovery(config, discovery_file)
+    if fleet_file is not None and fleet_file.exists():
+        config = with_fleet(config, fleet_file)
     return config
 
 
+def with_fleet(config: Config, path: Path) -> Config:
+    """Add what the operators' file of the fleet says; its libraries are loaded only here."""
+    try:
+        from sagetrestle.net.program import fleet
+    except ImportError as error:
+        raise ConfigError(f"{path.name}: needs requirements-full.txt: {error}") from None
+    try:
+        return replace(config, fleet=fleet.load_fleet(path, config.name))
+    except fleet.FleetFileError as error:
+        raise ConfigError(str(error)) from None
+
+
 def _with_discovery(config: Config, path: Path) -> Config:
     """Add what the operators' file of discovery says; its libraries are loaded only here."""
     try:
--- /dev/null
+++ b/sagetrestle/net/program/fleet.py
@@ -0,0 +1,281 @@
+"""The fleet wired up: the operators' file, one member's sockets and store, and a front end's watch of who owns what.
+
+Loaded only where ``deploy/fleet.toml`` is.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import time
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
+
+import msgspec
+
+from sagetrestle.consensus import core as raft
+from sagetrestle.forms import decoded
+from sagetrestle.net.protocol.fences import Fates
+from sagetrestle.net.routing.fleet import HANDLERS, Fleet, join_fleet
+from sagetrestle.net.routing.inputs import FateTold, FromFleet, Input, SeatTaken, StoreDone
+from sagetrestle.net.routing.keys import MARGIN_US
+from sagetrestle.net.routing.state import State
+from sagetrestle.net.transport.peer_link import KernelAsker, PeerLinks
+from sagetrestle.ownership.values import FleetMap, FleetTerms, Place, name_of
+from sagetrestle.peers import links as link
+from sagetrestle.recovery.effects import Kind
+from sagetrestle.store.database import StoreError
+from sagetrestle.store.votes import SpoiltStore, VoteStore, set_aside
+from sagetrestle.takeover import books, node
+from sagetrestle.takeover.messages import MapTold
+
+if TYPE_CHECKING:
+    from sagetrestle.net.program.config import Config
+
+MS = 1_000
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,63}$")]
+FATES = {"done": Kind.OUTCOME, "crashed": Kind.FAILED, "never": Kind.NEVER}
+
+
+class FleetFileError(ValueError):
+    """A file that can not be used; the text names it and the field."""
+
+
+class MemberRow(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """One member, and where it takes the others' links."""
+
+    name: Name
+    address: str
+
+
+class FleetFile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """``deploy/fleet.toml``; the same at all members, but for ``listen``, ``zone``, ``weight`` and ``store``."""
+
+    fleet: Name
+    listen: str
+    council: Annotated[list[Name], msgspec.Meta(min_length=1, max_length=7)]
+    members: Annotated[list[MemberRow], msgspec.Meta(min_length=1, max_length=3_000)]
+    store: str = ""
+    zone: str = ""
+    weight: Annotated[int, msgspec.Meta(ge=1, le=1_000)] = 1
+    partitions: Annotated[int, msgspec.Meta(ge=1, le=4_096)] = 64
+    backups: Annotated[int, msgspec.Meta(ge=0, le=4)] = 2
+    least_backups: Annotated[int, msgspec.Meta(ge=0, le=4)] = 1
+    lease_ms: Annotated[int, msgspec.Meta(ge=200, le=60_000)] = 1_000
+    heartbeat_ms: Annotated[int, msgspec.Meta(ge=20, le=10_000)] = 100
+    election_ms: Annotated[int, msgspec.Meta(ge=100, le=60_000)] = 500
+    clock_drift: Annotated[float, msgspec.Meta(ge=0, le=0.2)] = 0.01
+    clocks_apart_ms: Annotated[int, msgspec.Meta(ge=0, le=60_000)] = 500
+    moves: Annotated[int, msgspec.Meta(ge=1, le=4_096)] = 8
+    kernel_fences: bool = False
+    new: bool = False
+
+
+@dataclass(frozen=True)
+class FleetConfig:
+    """The file, and what its paths and addresses mean."""
+
+    file: FleetFile
+    listen: tuple[str, int]
+    addresses: tuple[tuple[str, tuple[str, int]], ...]
+    store: Path | None
+
+    def terms(self) -> FleetTerms:
+        """Return the terms of ownership."""
+        file = self.file
+        return FleetTerms(file.partitions, file.backups, file.least_backups, file.lease_ms * MS, file.clock_drift,
+                          file.moves, file.new)
+
+    def raft(self) -> raft.Terms:
+        """Return the terms of the council."""
+        file = self.file
+        return raft.Terms(file.heartbeat_ms * MS, file.election_ms * MS, 2 * file.election_ms * MS, file.clock_drift)
+
+
+def load_fleet(path: Path, name: str) -> FleetConfig:
+    """Read the operators' file whole, for a member of this name. Raises FleetFileError."""
+    try:
+        file: FleetFile = decoded(path.read_bytes(), FleetFile, "toml", FleetFileError)
+        names = [one.name for one in file.members]
+        if len(set(names)) < len(names):
+            raise FleetFileError("members: a name comes twice")
+        if name not in names:
+            raise FleetFileError(f"members: {name!r} is not one of them")
+        if unknown := sorted(set(file.council) - set(names)):
+            raise FleetFileError(f"council: {unknown[0]!r} is no member")
+        if len(set(file.council)) % 2 == 0 or len(set(file.council)) < len(file.council):
+            raise FleetFileError("council: must be 1, 3, 5 or 7 different members")
+        if file.partitions & (file.partitions - 1):
+            raise FleetFileError("partitions: must be a power of two")
+        if file.least_backups > file.backups:
+            raise FleetFileError("least_backups: more than backups")
+        if file.heartbeat_ms * 3 > file.election_ms:
+            raise FleetFileError("heartbeat_ms: must be a third of election_ms at most")
+        addresses = tuple((one.name, _address(one.address, f"members: {one.name}")) for one in file.members)
+        return FleetConfig(file, _address(file.listen, "listen"), addresses,
+                           path.parent.parent / file.store if file.store else None)
+    except (OSError, FleetFileError) as error:
+        raise FleetFileError(f"{path.name}: {error}") from None
+
+
+def _address(text: str, where: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise FleetFileError(f"{where}: {text!r}: not ADDRESS:PORT") from None
+    if not port.isdecimal() or not int(port) < 65_536:
+        raise FleetFileError(f"{where}: {text!r}: not ADDRESS:PORT")
+    return host, int(port)
+
+
+class FleetHost:
+    """One member's sockets, its council's store, and the kernels that it asks."""
+
+    def __init__(self, reactor: Any, fleet: FleetConfig, config: Config, post: Callable[[Input], None],
+                 log: Callable[[str], None], now: Callable[[], int],
+                 in_thread: Callable[[Callable[[], Any]], Any]) -> None:
+        self._config, self._post, self._log, self._now, self._in_thread = fleet, post, log, now, in_thread
+        file, self._council = fleet.file, tuple(sorted(fleet.file.council))
+        self._name, self._seed = config.name, config.plan.seed + int(time.time())
+        self._store: VoteStore | None = None
+        self._lives = 0
+        boot = int(time.time() * 1000)
+        kernel = "{}:{}".format(*config.peers.kernel) if file.kernel_fences else ""
+        place = Place(f"{config.name}@{boot}", file.zone, file.weight, kernel)
+        links = link.Links(file.fleet, place.id, tuple(name for name, _ in fleet.addresses), self._seed, now())
+        window = max((cls.window_us for cls in config.plan.settings.classes), default=0)
+        seat = self._seat() if config.name in self._council else None
+        # Arrivals are stamped by clocks that may be apart, and a key must not be free here before it is anywhere.
+        self.node = node.Node(place, self._council, fleet.terms(), links,
+                              window + MARGIN_US + file.clocks_apart_ms * MS, seat)
+        self.links = PeerLinks(reactor, dict(fleet.addresses), lambda event: post(FromFleet(event)))
+        self._kernels = KernelAsker(reactor, self._told)
+
+    def join(self, state: State, handlers: dict[type, Any]) -> None:
+        """Have the core reach the member."""
+        handlers |= HANDLERS
+        join_fleet(state, Fleet(self.node))
+
+    def listen(self) -> tuple[str, int]:
+        """Take the others' links. Raises CannotListenError."""
+        return self._config.listen[0], self.links.listen(self._config.listen)
+
+    def close(self) -> None:
+        """End all of it."""
+        self.links.close()
+        self._kernels.close()
+
+    def _seat(self) -> raft.Raft:
+        """Return the seat that the store leaves, or one on an empty store where it may not be used."""
+        self._lives += 1
+        kept, path = None, self._config.store
+        if path is not None:
+            try:
+                self._store = VoteStore(path)
+                kept = self._store.read()
+            except SpoiltStore as error:
+                assert self._store is not None
+                self._store.close()
+                self._log(f"council: {error}; it is set aside as {set_aside(path).name}")
+                self._store = VoteStore(path)
+                kept = self._store.read()
+        identity = kept.identity if kept is not None else f"{int(time.time() * 1000):x}.{self._lives}"
+        id = f"{self._name}#{identity}"
+        if kept is None:
+            return raft.begin(id, self._council, self._config.raft(), self._seed, self._now())
+        return raft.begin(id, self._council, self._config.raft(), self._seed, self._now(), *kept[1:])
+
+    def perform(self, what: node.Decision) -> None:
+        """Carry out what the member decided about the world."""
+        match what:
+            case link.Dial(name):
+                self.links.dial(name)
+            case link.Write(connection, frame):
+                self.links.write(connection, frame)
+            case link.Close(connection):
+                self.links.end(connection)
+            case node.Persist(write):
+                self._persist(write)
+            case node.Forget(why):
+                self._forget(why)
+            case books.Fence():
+                self._kernels.ask(what)
+
+    def _persist(self, write: raft.Write) -> None:
+        store = self._store
+        if store is None:
+            self._post(FromFleet(StoreDone(True)))
+            return
+
+        def failed(reason: Any) -> None:
+            self._log(f"council: {reason.getErrorMessage()}")
+            self._post(FromFleet(StoreDone(False)))
+        self._in_thread(lambda: store.write(write)).addCallbacks(
+            lambda _: self._post(FromFleet(StoreDone(True))), failed)
+
+    def _forget(self, why: str) -> None:
+        """Begin with an empty store: the one there is was an older copy."""
+        self._log(f"council: the store is older than what was said from it: {why}")
+        if self._store is not None and self._config.store is not None:
+            self._store.close()
+            set_aside(self._config.store)
+        try:
+            self._post(FromFleet(SeatTaken(self._seat())))
+        except StoreError as error:
+            self._log(f"council: {error}")
+
+    def _told(self, fates: Fates) -> None:
+        for one in fates.fates:
+            self._post(FromFleet(FateTold(fates.partition, fates.epoch, one.run, FATES[one.how], one.result)))
+
+
+class FleetWatch:
+    """A front end's view of who owns what: it listens to members, and takes no part."""
+
+    def __init__(self, reactor: Any, fleet: str, name: str, addresses: dict[str, tuple[str, int]],
+                 on_map: Callable[[FleetMap], None], seed: int = 0) -> None:
+        self._reactor, self._on_map, self.known = reactor, on_map, FleetMap()
+        me = f"{name}@{int(time.time() * 1000)}"
+        self._machine = link.Links(fleet, me, tuple(addresses), seed, self._now(), observer=True)
+        self._links = PeerLinks(reactor, addresses, self._came)
+        self._stopped = False
+
+    def _now(self) -> int:
+        return int(self._reactor.seconds() * 1e6)
+
+    def start(self) -> None:
+        """Begin, and go on."""
+        if not self._stopped:
+            self._take(self._machine.passed(self._now()))
+            self._reactor.callLater(0.05, self.start)
+
+    def stop(self) -> None:
+        """End it."""
+        self._stopped = True
+        self._links.close()
+
+    def _came(self, event: link.Event) -> None:
+        if not self._stopped:
+            self._take(self._machine.step(self._now(), event))
+
+    def _take(self, decisions: list[link.Decision]) -> None:
+        for what in decisions:
+            match what:
+                case link.Dial(name):
+                    self._links.dial(name)
+                case link.Write(connection, frame):
+                    self._links.write(connection, frame)
+                case link.Close(connection):
+                    self._links.end(connection)
+                case link.Heard(_, MapTold(known)) if known.version > self.known.version:
+                    self.known = known
+                    self._on_map(known)
+
+
+def owner_names(known: FleetMap) -> Callable[[str], str]:
+    """Return what tells the name of a key's owner, for a router."""
+    return lambda key: name_of(known.share_of(key)[1].owner)
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -35,6 +35,7 @@
 
 if TYPE_CHECKING:
     from sagetrestle.net.program.discovery import DiscoveryConfig
+    from sagetrestle.net.program.fleet import FleetConfig, FleetHost
     from sagetrestle.net.program.handover import Handover
     from sagetrestle.net.program.identity import IdentityConfig
     from sagetrestle.net.transport.credentials import CredentialReader
@@ -46,6 +47,7 @@
 EXIT_AFTER_S = 0.03  # for the last answers to leave their sockets
 SCGI_FILE, IDENTITY_FILE = Path("deploy/scgi.toml"), Path("deploy/identity.toml")
 LOG_FILE, DISCOVERY_FILE = Path("deploy/log.toml"), Path("deploy/discovery.toml")
+FLEET_FILE = Path("deploy/fleet.toml")
 
 
 class Scorer:
@@ -77,6 +79,9 @@
             from sagetrestle.net.transport.management import ManagementFront
             self.management = ManagementFront(reactor, post, bounds.management)
             self._add_handover(reactor, post, handlers)
+        self.fleet: FleetHost | None = None
+        if config.fleet:
+            self._add_fleet(config.fleet, handlers)
         credentials = None
         if config.identity:
             credentials = self._add_identity(config.identity, post)
@@ -94,6 +99,21 @@
         self.handover = Handover(reactor, post, self.config.shared, self.config.name, self._log.line,
                                  lambda: self._tls and self._tls.context)
 
+    def _add_fleet(self, fleet: FleetConfig, handlers: dict[type, Any]) -> None:
+        """Set up what the fleet needs; it is loaded only here."""
+        from twisted.internet.threads import deferToThreadPool
+
+        from sagetrestle.net.program.fleet import FleetHost
+        from sagetrestle.store.database import StoreError
+        reactor = self.reactor
+        try:
+            self.fleet = FleetHost(
+                reactor, fleet, self.config, self.loop.post, self._log.line, lambda: self.loop.now,
+                lambda act: deferToThreadPool(reactor, reactor.getThreadPool(), act))
+        except StoreError as error:
+            raise ConfigError(f"fleet.toml: store: {error}") from None
+        self.fleet.join(self.loop.state, handlers)
+
     def _add_scgi(self, kind: str, held_kb: float, post: Post, credentials: Any) -> None:
         plan = self.config.plan
         self.fronts[kind] = ScgiFront(
@@ -183,6 +203,8 @@
                 self.fronts[kind].most = most
             case fx.ToOther(what):
                 self.handover.perform(what)
+            case fx.ToFleet(what):
+                self.fleet.perform(what)
             case fx.StopListening(shared):
                 for front in self.fronts.values():
                     front.stop_listening(shared)
@@ -228,6 +250,8 @@
                 self._open(self.fronts["scgis"], *self.config.scgis)
             if self._watch:
                 self._watch.start()
+            if self.fleet:
+                self._listens("fleet", *self.fleet.listen())
             if self.config.discovery and self.config.discovery.file.publish:
                 self._publish(self.config.discovery, host, thrift_port)
         except CannotListenError as error:
@@ -295,6 +319,8 @@
                 connection.close()
         if self.handover:
             self.handover.close()
+        if self.fleet:
+            self.fleet.close()
         self.reactor.callLater(EXIT_AFTER_S, self.reactor.stop)
 
     def _failed(self, text: str) -> None:
@@ -306,7 +332,7 @@
 def main() -> int:
     """Run one scorer until it is told to leave."""
     signals.ignore_reload()
-    reread = partial(read_config, os.environ, SCGI_FILE, IDENTITY_FILE, DISCOVERY_FILE)
+    reread = partial(read_config, os.environ, SCGI_FILE, IDENTITY_FILE, DISCOVERY_FILE, FLEET_FILE)
     try:
         logger = log.set_up(log.read_form(LOG_FILE))
         config = reread()
@@ -315,7 +341,11 @@
         return 2
     from twisted.internet import reactor
     reactor.seconds = time.monotonic  # type: ignore[attr-defined]  # timers must not follow steps of Unix time
-    scorer = Scorer(reactor, config, logger, Clock(), reread)
+    try:
+        scorer = Scorer(reactor, config, logger, Clock(), reread)
+    except ConfigError as error:
+        print(f"sagetrestle: {error}", file=sys.stderr)
+        return 2
     scorer.start()
     gc.freeze()
     gc.set_threshold(*COLLECT)
--- a/sagetrestle/net/protocol/kernel.py
+++ b/sagetrestle/net/protocol/kernel.py
@@ -135,9 +135,10 @@
     return _line("OPEN", serial=serial)
 
 
-def encode_sched(call: str, service: str, body: bytes) -> bytes:
-    """Write the command to run a request."""
-    return _line("SCHED", call=call, service=service, blob=base64.b64encode(body).decode())
+def encode_sched(call: str, service: str, body: bytes, token: tuple[int, int, str] | None = None) -> bytes:
+    """Write the command to run a request; its fencing token only where the fleet is on."""
+    more = {"fence": token} if token is not None else {}
+    return _line("SCHED", call=call, service=service, blob=base64.b64encode(body).decode(), **more)
 
 
 def encode_preempt(call: str) -> bytes:
--- a/sagetrestle/net/routing/chores.py
+++ b/sagetrestle/net/routing/chores.py
@@ -32,6 +32,8 @@
     turn.state.peers = item.peers
     if turn.state.plan.managed:
         turn.effects.append(ListenToOperators())
+    if turn.state.fleet is not None:
+        turn.state.fleet.began(turn)
     if turn.state.pair is not None:
         turn.state.pair.began(turn, item.elders)
     else:
@@ -68,6 +70,8 @@
 def stop_asked(turn: Turn, _: inputs.StopAsked) -> None:
     """Begin to leave: off the roster at once; the module answers what is in hand."""
     state = turn.state
+    if state.fleet is not None:
+        state.fleet.notice(turn)
     if state.pair is not None and not state.pair.notice(turn):
         return
     drain(turn)
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:  # what is off is not loaded
     from sagetrestle.handover import elder, successor
+    from sagetrestle.takeover import node
 
 
 class Listen(NamedTuple):
@@ -39,6 +40,12 @@
     what: elder.Decision | successor.Decision
 
 
+class ToFleet(NamedTuple):
+    """Deal with other members, the council's store, or their kernels, as this member decided."""
+
+    what: node.Decision
+
+
 class SendAnswer(NamedTuple):
     """Give a request its final answer, with the free value where one is set."""
 
@@ -107,12 +114,16 @@
 
 
 class CommandRun(NamedTuple):
-    """Tell the kernel what to do with a run; ``body`` is the request's or the reply's."""
+    """Tell the kernel what to do with a run; ``body`` is the request's or the reply's.
+
+    ``token`` is its fencing token where the fleet is on: partition, epoch, owner.
+    """
 
     kind: CommandKind
     id: str
     cls: str = ""
     body: bytes = b""
+    token: tuple[int, int, str] | None = None
 
 
 class AskGauges(NamedTuple):
--- /dev/null
+++ b/sagetrestle/net/routing/fleet.py
@@ -0,0 +1,317 @@
+"""Joins the fleet to requests: what ownership, a record and a word from a kernel mean for entries.
+
+The member decides who owns and what is known of a key (``takeover``); here that becomes starts, answers and waits.
+Loaded only where ``deploy/fleet.toml`` is; the rest of the core reaches it as ``state.fleet`` and through the gate.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+from sagetrestle.handover.messages import KeyName, Record
+from sagetrestle.interface import Gone, Outcome, RunEnded
+from sagetrestle.net.routing import inputs
+from sagetrestle.net.routing.actions import through_gate
+from sagetrestle.net.routing.effects import ToFleet
+from sagetrestle.net.routing.gate import Word as Pass
+from sagetrestle.net.routing.keys import LATE_READ_US, MARGIN_US
+from sagetrestle.net.routing.state import Entry, Phase, State
+from sagetrestle.net.routing.turn import Turn
+from sagetrestle.net.routing.values import Answer, Failed, FailCause, Refused, Request, Served
+from sagetrestle.ownership.values import Share
+from sagetrestle.recovery.effects import EffectError, Kind, Standing
+from sagetrestle.recovery.effects import Entry as EffectEntry
+from sagetrestle.takeover import books, judge, node
+from sagetrestle.takeover.judge import Verdict, Word
+
+TICK_US = 20_000
+ELSEWHERE_US = 50_000  # how long to stay away from a member that does not own the key
+LOOK_EVERY_US = 200_000  # for tries that wait and that nobody waits for any more
+
+
+class Fleet:
+    """A member's say on keyed runs."""
+
+    def __init__(self, member: node.Node) -> None:
+        self.node = member
+        self._due_us = self._look_us = 0
+        self._not_yet: dict[str, None] = {}  # tries that wait until this member may act, in their order
+        self._asked: dict[str, list[str]] = {}  # runs of owners before, and the tries that wait for their ends
+
+    # What the gate asks
+
+    def judge(self, turn: Turn, entry: Entry) -> Pass:
+        """Say whether a keyed try may run: its partition is owned here, and its record is at the backups."""
+        request = entry.request
+        verdict = self._verdict(turn, request)
+        match verdict.word:
+            case Word.RUNS if self._is_own(verdict, request):
+                entry.token = (verdict.partition, verdict.share.epoch, self.node.me)
+                return Pass.START if entry.recorded else Pass.WAIT
+            case Word.FREE:
+                return self._record(turn, entry, verdict)
+            case Word.NOT_YET:
+                self._not_yet[request.id] = None
+                return Pass.WAIT
+            case Word.ASKED | Word.RUNS:
+                self._wait_for(turn, entry, verdict)
+                return Pass.OVER
+        answer = self._answer(turn, verdict)
+        assert answer is not None
+        self._end(turn, entry, answer)
+        return Pass.OVER
+
+    def join(self, turn: Turn, entry: Entry) -> bool:
+        """Have a try that the window forbids wait for a run of an owner before."""
+        by = turn.state.keys.ran_id(entry.request)
+        if by is None or not self.wait(by, entry.request.id):
+            return False
+        entry.phase = Phase.JOINED
+        turn.events.append(RunEnded(entry.request.id, Outcome.ERROR))
+        return True
+
+    def wait(self, by: str, id: str) -> bool:
+        """Have a try wait for a run of an owner before."""
+        if by not in self._asked:
+            return False
+        self._asked[by].append(id)
+        return True
+
+    def door(self, turn: Turn, request: Request) -> Answer | None:
+        """Answer at once what is known, or is not for this member; a run that is asked after is one to be joined."""
+        verdict = self._verdict(turn, request)
+        if verdict.word is Word.ASKED:
+            self._adopt(turn, verdict)
+        return self._answer(turn, verdict)
+
+    def over(self, turn: Turn, entry: Entry) -> None:
+        """Record what became of a try that was recorded."""
+        self._not_yet.pop(entry.request.id, None)
+        if not entry.recorded and entry.token is None:
+            return
+        request, keys = entry.request, turn.state.keys
+        finished = keys.result(request.id)
+        if not entry.ran or keys.ran_id(request) != request.id and finished is None:
+            kind, result = Kind.NEVER, b""
+        elif finished is not None and finished.result is not None:
+            kind, result = Kind.OUTCOME, finished.result
+        else:
+            kind, result = Kind.FAILED, b""
+        entry.recorded, entry.token = False, None
+        what = self._marks(turn, request)
+        at, _ = self.node.books.share_of(what.key)
+        name = judge.effect_key(what.cls, what.tenant, what.key)
+        self.perform(turn, self.node.ended(
+            turn.now, turn.unix(), at, EffectEntry(kind, name, turn.unix(request.arrived), result=result)))
+
+    # Inside
+
+    def _marks(self, turn: Turn, request: Request) -> books.Marks:
+        digest = hashlib.blake2b(request.body, digest_size=16).digest()
+        cls = turn.state.plan.settings.classes[request.cls].name
+        return books.Marks(request.id, cls, request.tenant, request.key or "", digest)
+
+    def _verdict(self, turn: Turn, request: Request) -> Verdict:
+        if not self.node.books.map.shares:
+            return Verdict(Word.NOT_YET, 0, NOWHERE)
+        return judge.judge(self.node, turn.now, self._marks(turn, request), turn.unix(request.arrived))
+
+    @staticmethod
+    def _is_own(verdict: Verdict, request: Request) -> bool:
+        return verdict.effect is not None and books.marks(verdict.effect.digest).id == request.id
+
+    def _answer(self, turn: Turn, verdict: Verdict) -> Answer | None:
+        match verdict.word:
+            case Word.SERVE:
+                assert verdict.effect is not None
+                return Served(verdict.effect.result)
+            case Word.FAIL:
+                return Failed()
+            case Word.DOUBT:
+                turn.log("a charge is in doubt: it may have run at an owner before, and nobody can tell")
+                return Failed()
+            case Word.CONFLICT:
+                return Failed(FailCause.CONFLICT)
+            case Word.ELSEWHERE:
+                return Refused(ELSEWHERE_US)
+        return None
+
+    def _end(self, turn: Turn, entry: Entry, answer: Answer) -> None:
+        """Answer a try that the module had started, and that does not run here."""
+        turn.answer(entry, answer)
+        good = isinstance(answer, Served)
+        turn.events.append(RunEnded(entry.request.id, Outcome.OK if good else Outcome.ERROR))
+        turn.over(entry)
+
+    def _record(self, turn: Turn, entry: Entry, verdict: Verdict) -> Pass:
+        """Have the try's intent at all backups before it starts."""
+        request, what = entry.request, self._marks(turn, entry.request)
+        name = judge.effect_key(what.cls, what.tenant, what.key)
+        intent = EffectEntry(Kind.INTENT, name, turn.unix(request.arrived), self.node.me, 0, books.mark(what))
+        entry.token = (verdict.partition, verdict.share.epoch, self.node.me)
+        entry.recorded = False
+        try:
+            decisions = self.node.record(turn.now, turn.unix(), verdict.partition, request.id, intent)
+        except EffectError as error:
+            entry.token = None
+            turn.log(f"request {request.id} not run: {error}")
+            self._end(turn, entry, Failed())
+            return Pass.OVER
+        if books.Start(request.id, entry.token) in decisions:  # no backup is asked for
+            decisions.remove(books.Start(request.id, entry.token))
+            entry.recorded = True
+        self.perform(turn, decisions)
+        return Pass.START if entry.recorded else Pass.WAIT
+
+    def _adopt(self, turn: Turn, verdict: Verdict) -> str:
+        """Know a run of an owner before as one that its repeats wait for."""
+        assert verdict.effect is not None
+        said = books.marks(verdict.effect.digest)
+        settings = turn.state.plan.settings
+        window = next((cls.window_us for cls in settings.classes if cls.name == said.cls), 0)
+        arrived = verdict.effect.at_us - turn.unix() + turn.now
+        turn.state.keys.adopt(Record(KeyName(said.cls, said.tenant, said.key), said.body, said.id, arrived,
+                                     arrived + window + MARGIN_US))
+        self._asked.setdefault(said.id, [])
+        return said.id
+
+    def _wait_for(self, turn: Turn, entry: Entry, verdict: Verdict) -> None:
+        by = self._adopt(turn, verdict)
+        self._asked[by].append(entry.request.id)
+        entry.phase = Phase.JOINED
+        turn.events.append(RunEnded(entry.request.id, Outcome.ERROR))
+
+    # What comes
+
+    def began(self, turn: Turn) -> None:
+        """Start."""
+        self.perform(turn, self.node.begin(turn.now, turn.unix()))
+
+    def due(self) -> int:
+        """Return when time alone changes something here."""
+        return self._due_us
+
+    def tick(self, turn: Turn) -> None:
+        """Do what time brings."""
+        if turn.now < self._due_us:
+            return
+        self._due_us = turn.now + TICK_US
+        self.perform(turn, self.node.passed(turn.now, turn.unix()))
+        self._again(turn)
+        if turn.now >= self._look_us:
+            self._look_us = turn.now + LOOK_EVERY_US
+            self._give_up(turn)
+
+    def notice(self, turn: Turn) -> None:
+        """Be on the way out: others take what is owned here."""
+        self.perform(turn, self.node.leave(turn.now, turn.unix()))
+
+    def heard(self, turn: Turn, event: inputs.FleetEvent) -> None:
+        """Take what came from other members, from the council's store, or from a kernel."""
+        now, unix = turn.now, turn.unix()
+        match event:
+            case inputs.StoreDone(done):
+                decisions = self.node.persisted(now, unix, done)
+            case inputs.FateTold(partition, epoch, run, kind, result):
+                decisions = self.node.fate(now, unix, partition, epoch, run, kind, result)
+            case inputs.SeatTaken(seat):
+                decisions = self.node.seated(now, unix, seat)
+            case _:
+                decisions = self.node.came(now, unix, event)
+        self.perform(turn, decisions)
+
+    def perform(self, turn: Turn, decisions: Iterable[node.Decision]) -> None:
+        """Carry out what the member decided; what is not about requests goes to the program."""
+        for what in decisions:
+            match what:
+                case books.Start(id):
+                    self._start(turn, id)
+                case books.TurnAway(id, owner):
+                    self._turn_away(turn, id, owner)
+                case books.Resolved():
+                    self._resolved(turn, what)
+                case books.Note(text):
+                    turn.log(text)
+                case node.Changed():
+                    self._changed(turn)
+                case _:
+                    turn.effects.append(ToFleet(what))
+
+    def _start(self, turn: Turn, id: str) -> None:
+        entry = turn.state.entries.get(id)
+        if entry is None:
+            return
+        entry.recorded = True
+        if entry.phase is Phase.WAITING and entry.owed:
+            through_gate(turn, entry)
+
+    def _turn_away(self, turn: Turn, id: str, owner: str) -> None:
+        entry = turn.state.entries.get(id)
+        if entry is not None and entry.phase is Phase.WAITING:
+            turn.log(f"request {id} not run: {owner} owns its partition now")
+            entry.token = None  # its record is the new owner's to settle
+            self._end(turn, entry, Refused(ELSEWHERE_US))
+
+    def _resolved(self, turn: Turn, what: books.Resolved) -> None:
+        """Answer those that waited for a run of an owner before; where it never ran they are to come again."""
+        keys = turn.state.keys
+        if what.standing is Standing.DONE:
+            windows = (cls.window_us for cls in keys.settings.classes)
+            keys.learn(what.run, what.result, turn.now + max(windows, default=0) + LATE_READ_US)
+        else:
+            keys.disown(what.run)
+        for id in self._asked.pop(what.run, ()):
+            entry = turn.state.entries.get(id)
+            if entry is None or entry.phase is not Phase.JOINED:
+                continue
+            if what.standing is Standing.FREE:
+                self._end(turn, entry, Refused(1))
+            else:
+                turn.reuse(entry, what.result if what.standing is Standing.DONE else None)
+
+    def _changed(self, turn: Turn) -> None:
+        """Let go at once what another owns now and that has not begun."""
+        for entry in list(turn.state.entries.values()):
+            if entry.phase is Phase.HELD and entry.owed and not entry.ran and turn.state.keys.keyed(entry.request) \
+                    and self._verdict(turn, entry.request).word is Word.ELSEWHERE:
+                entry.token = None
+                turn.answer(entry, Refused(ELSEWHERE_US))
+                turn.events.append(Gone(entry.request.id))
+                turn.give_up(entry)
+        self._again(turn)
+
+    def _again(self, turn: Turn) -> None:
+        """Ask again for tries that this member could not run yet."""
+        waiting, self._not_yet = self._not_yet, {}
+        for id in waiting:
+            entry = turn.state.entries.get(id)
+            if entry is not None and entry.phase is Phase.WAITING and entry.owed:
+                through_gate(turn, entry)
+
+    def _give_up(self, turn: Turn) -> None:
+        """End tries that wait and that nobody waits for."""
+        for entry in list(turn.state.entries.values()):
+            if entry.phase is Phase.WAITING and not entry.owed:
+                turn.events.append(RunEnded(entry.request.id, Outcome.CANCELLED))
+                turn.over(entry)
+        entries = turn.state.entries
+        for run, ids in list(self._asked.items()):
+            self._asked[run] = [id for id in ids if id in entries]
+
+
+NOWHERE = Share(0)
+
+
+def event(turn: Turn, item: inputs.FromFleet) -> None:
+    """Take what came."""
+    turn.state.fleet.heard(turn, item.event)
+
+
+def join_fleet(state: State, fleet: Fleet) -> None:
+    """Have the fleet reached by the core, and heard before a keyed run."""
+    state.fleet = fleet
+    state.gate.judges.append(fleet)
+
+
+HANDLERS = {inputs.FromFleet: event}
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -140,8 +140,9 @@
         _doubtful(turn, request, "its key came before with another body", Failed(FailCause.CONFLICT))
         return
     connection.proven = True
-    if turn.state.gate.may_have_run(turn, request):
-        turn.final(request, Failed())
+    answer = turn.state.gate.door(turn, request)
+    if answer is not None:
+        turn.final(request, answer)
         return
     reserved = False
     if verdict is not None:
--- a/sagetrestle/net/routing/gate.py
+++ b/sagetrestle/net/routing/gate.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:  # the state holds the gate
     from sagetrestle.net.routing.state import Entry
     from sagetrestle.net.routing.turn import Turn
-    from sagetrestle.net.routing.values import Request
+    from sagetrestle.net.routing.values import Answer, Request
 
 
 class Word(Enum):
@@ -36,8 +36,8 @@
     def wait(self, by: str, id: str) -> bool:
         """Have a try wait for the one that it repeats, if that runs elsewhere."""
 
-    def may_have_run(self, turn: Turn, request: Request) -> bool:
-        """Tell whether a keyed request that is not known here may have run where nobody can be asked."""
+    def door(self, turn: Turn, request: Request) -> Answer | None:
+        """Return the answer of a keyed request that is not known here, where there is one at once."""
 
     def over(self, turn: Turn, entry: Entry) -> None:
         """Note that a try is over."""
@@ -70,11 +70,15 @@
         """Have a try wait for the one that it repeats, if that runs at another process."""
         return any(one.wait(by, id) for one in self.judges)
 
-    def may_have_run(self, turn: Turn, request: Request) -> bool:
-        """Tell at the door whether a keyed request can only fail, as it may have run out of reach."""
+    def door(self, turn: Turn, request: Request) -> Answer | None:
+        """Return the answer of a keyed request that the module need not hear of, if there is one."""
         keys = turn.state.keys
-        return bool(self.judges) and keys.keyed(request) and not keys.ran_before(request) and any(
-            one.may_have_run(turn, request) for one in self.judges)
+        if self.judges and keys.keyed(request) and not keys.ran_before(request):
+            for one in self.judges:
+                answer = one.door(turn, request)
+                if answer is not None:
+                    return answer
+        return None
 
     def over(self, turn: Turn, entry: Entry) -> None:
         """Note that a try is over."""
--- a/sagetrestle/net/routing/handover.py
+++ b/sagetrestle/net/routing/handover.py
@@ -17,7 +17,7 @@
 from sagetrestle.net.routing.state import Drain as DrainState
 from sagetrestle.net.routing.state import Entry, Phase, State
 from sagetrestle.net.routing.turn import Turn
-from sagetrestle.net.routing.values import Failed, FailCause, Plan, Request
+from sagetrestle.net.routing.values import Answer, Failed, FailCause, Plan, Request
 
 LOAD_EVERY_US = 100_000  # between two words of the elder on what it holds
 BOUND_MOST_US, BOUND_AFTER_US = 3_000_000, 580_000  # SIGKILL follows SIGTERM by the longest deadline and 0.7 s
@@ -62,9 +62,9 @@
         """Tell whether a keyed request that is not known here can not have run at another process."""
         return elder.may_run(self.elder, request.arrived) and successor.may_run(self.successor, request.arrived)
 
-    def may_have_run(self, turn: Turn, request: Request) -> bool:
-        """Tell whether a request that is not known here may have run where nobody can be asked."""
-        return not self.may_run(request)
+    def door(self, turn: Turn, request: Request) -> Answer | None:
+        """Fail a request that is not known here and may have run where nobody can be asked."""
+        return None if self.may_run(request) else Failed()
 
     def judge(self, turn: Turn, entry: Entry) -> Word:
         """Say whether a keyed run may start now; it may have to be granted first, or not run at all."""
--- a/sagetrestle/net/routing/inputs.py
+++ b/sagetrestle/net/routing/inputs.py
@@ -9,8 +9,11 @@
 )
 
 if TYPE_CHECKING:
+    from sagetrestle.consensus.core import Raft
     from sagetrestle.handover import elder, successor
     from sagetrestle.identity.judge import Snapshot
+    from sagetrestle.peers import links
+    from sagetrestle.recovery.effects import Kind
 
 
 class Started(NamedTuple):
@@ -111,6 +114,37 @@
     event: elder.Event
 
 
+class StoreDone(NamedTuple):
+    """The council's store has what it was given; False: it can not be written."""
+
+    done: bool
+
+
+class FateTold(NamedTuple):
+    """A kernel told what became of a run of an owner before."""
+
+    partition: int
+    epoch: int
+    run: str
+    kind: Kind
+    result: bytes
+
+
+class SeatTaken(NamedTuple):
+    """The council's store was begun anew."""
+
+    seat: Raft
+
+
+FleetEvent = Union["links.Event", StoreDone, FateTold, SeatTaken]  # noqa: UP007
+
+
+class FromFleet(NamedTuple):
+    """Something came from other members, from the council's store, or from a kernel of another's."""
+
+    event: FleetEvent
+
+
 class KernelConnected(NamedTuple):
     """The link to the kernel with this number stands, with nothing said on it yet."""
 
@@ -199,6 +233,7 @@
 Input = Union[
     Started, Reconfigured, ReloadFailed, IdentityRead, IdentityFailed, StopAsked, ConnectionOpened,
     ConnectionEnded, RequestRead, RequestRejected, Withdrawn, HealthAsked, ManagementAsked, FromElder, FromHeir,
+    FromFleet,
     KernelConnected, KernelLost,
     KernelBooted, RunOver, RunCalls, GaugesRead, CommandRejected, KernelRemark, CallAnswered, CallBroken,
     LedgerLost,
--- a/sagetrestle/net/routing/keys.py
+++ b/sagetrestle/net/routing/keys.py
@@ -193,6 +193,13 @@
         at = next((at for at, cls in enumerate(self.settings.classes) if cls.name == record.key.cls), -1)
         return ("keyed", at, record.key.tenant, record.key.key)
 
+    def disown(self, id: str) -> None:
+        """Take back that a try ran at another process: it never did, or its end is not to be had."""
+        state = self.keys.get(self.names.get(id, NO_KEY))
+        if state is not None and state.ran == id:
+            state.ran, state.ran_until = None, 0
+        self._drop(id)
+
     def learn(self, id: str, result: bytes | None, until: int) -> None:
         """Keep what became of a try at another process."""
         if id in self.names:
--- a/sagetrestle/net/routing/reducer.py
+++ b/sagetrestle/net/routing/reducer.py
@@ -83,6 +83,8 @@
     times = [*state.chores.values(), *state.calls.values()]
     if state.wakes:
         times.append(state.wakes[0][0])
+    if state.fleet is not None:
+        times.append(state.fleet.due())
     if state.pair is not None and (due := state.pair.due()) is not None:
         times.append(due)
     return min(times, default=None)
@@ -95,10 +97,12 @@
         turn.events.append(Woke(heapq.heappop(wakes)[1], turn.state.gauges))
 
 
-def _tick_pair(turn: Turn) -> None:
-    """Let the handing over to or from another process go on."""
+def _tick_others(turn: Turn) -> None:
+    """Let what goes on with other processes go on."""
     if turn.state.pair is not None:
         turn.state.pair.tick(turn)
+    if turn.state.fleet is not None:
+        turn.state.fleet.tick(turn)
 
 
 def _run_module(turn: Turn) -> None:
@@ -110,4 +114,4 @@
 
 
 STEPS: tuple[Callable[[Turn], None], ...] = (
-    _wake, calls.give_up_late, _run_module, chores.run_chores, access.swap, _run_module, _tick_pair, _run_module)
+    _wake, calls.give_up_late, _run_module, chores.run_chores, access.swap, _run_module, _tick_others, _run_module)
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:  # what is off is not loaded
     from sagetrestle.identity.guard import Guard
+    from sagetrestle.net.routing.fleet import Fleet
     from sagetrestle.net.routing.handover import Pair
 
 
@@ -50,6 +51,8 @@
     owed: bool = True  # an answer
     ran: bool = False
     claimed: bool = False  # granted by another process
+    recorded: bool = False  # at the backups, where the fleet is on
+    token: tuple[int, int, str] | None = None  # partition, epoch, owner
     pausing: bool = False
     resent: list[CommandKind] = field(default_factory=list)  # written twice, so that one may be rejected
     unconfirmed: list[Command] = field(default_factory=list)
@@ -132,6 +135,7 @@
     listening: bool = False
     gate: Gate = field(default_factory=Gate)
     pair: Pair | None = None  # with another process of this server, where there may be one
+    fleet: Fleet | None = None  # with other servers
     exited: bool = False
 
 
--- a/sagetrestle/net/transport/kernel_link.py
+++ b/sagetrestle/net/transport/kernel_link.py
@@ -43,7 +43,7 @@
     """Write a command."""
     match what.kind:
         case CommandKind.START:
-            return kernel.encode_sched(what.id, what.cls, what.body)
+            return kernel.encode_sched(what.id, what.cls, what.body, what.token)
         case CommandKind.PAUSE:
             return kernel.encode_preempt(what.id)
         case CommandKind.RESUME:
--- /dev/null
+++ b/sagetrestle/net/transport/peer_link.py
@@ -0,0 +1,169 @@
+"""Connections between members, by number; what comes is posted, what is decided is written."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.protocols.basic import Int32StringReceiver, LineOnlyReceiver
+from twisted.python.failure import Failure
+
+from sagetrestle.net.protocol import fences, peer
+from sagetrestle.net.protocol.errors import ProtocolError
+from sagetrestle.net.transport.ends import endpoint_at
+from sagetrestle.peers.links import Came, Dialled, Event, Lost
+from sagetrestle.takeover.books import Fence
+
+CONNECT_S = 1.0
+MOST_CONNECTIONS = 256
+
+
+class PeerConnection(Int32StringReceiver):
+    """One connection, from either side."""
+
+    MAX_LENGTH = peer.MAX_FRAME
+
+    def __init__(self, number: int, links: PeerLinks) -> None:
+        self.number, self._links = number, links
+        self._frames: list[Any] = []
+
+    def connectionMade(self) -> None:  # noqa: D102
+        self.transport.setTcpNoDelay(True)
+        self._links.connections[self.number] = self
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: D102
+        super().dataReceived(data)
+        frames, self._frames = self._frames, []
+        if frames:
+            self._links.post(Came(self.number, tuple(frames)))
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: D102
+        try:
+            self._frames.append(peer.decode(string))
+        except ProtocolError:  # another version, or no member
+            self.transport.abortConnection()
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: D102
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
+        if self._links.connections.pop(self.number, None) is not None:
+            self._links.post(Lost(self.number))
+
+
+class PeerLinks(Factory):
+    """All connections of one member."""
+
+    noisy = False
+
+    def __init__(self, reactor: Any, addresses: dict[str, tuple[str, int]], post: Callable[[Event], None]) -> None:
+        self._reactor, self._addresses, self.post = reactor, addresses, post
+        self.connections: dict[int, PeerConnection] = {}
+        self._count = 0
+        self._port: Any = None
+
+    def listen(self, address: tuple[str, int]) -> int:
+        """Take members' connections, and return the port. Raises CannotListenError."""
+        self._port = self._reactor.listenTCP(address[1], self, interface=address[0])
+        return self._port.getHost().port
+
+    def buildProtocol(self, addr: Any) -> PeerConnection | None:
+        """Take a connection; who it is from is looked at once it greets."""
+        return self._connection() if len(self.connections) < MOST_CONNECTIONS else None
+
+    def _connection(self) -> PeerConnection:
+        self._count += 1
+        return PeerConnection(self._count, self)
+
+    def dial(self, name: str) -> None:
+        """Connect to a member; how that ends is posted."""
+        connection = self._connection()
+        factory = Factory.forProtocol(lambda: connection)  # type: ignore[arg-type]
+        factory.noisy = False
+        endpoint_at(self._reactor, self._addresses[name], CONNECT_S).connect(factory).addCallbacks(
+            lambda _: self.post(Dialled(name, connection.number)), lambda _: self.post(Dialled(name, None)))
+
+    def write(self, number: int, frame: Any) -> None:
+        """Write a frame, if the connection stands."""
+        if number in self.connections:
+            self.connections[number].sendString(peer.encode(frame))
+
+    def end(self, number: int) -> None:
+        """End a connection, once what was written is sent or in a while."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            connection.transport.loseConnection()
+            self._reactor.callLater(CONNECT_S, connection.transport.abortConnection)
+
+    def close(self) -> None:
+        """End all of it."""
+        if self._port is not None:
+            self._port.stopListening()
+        for number in list(self.connections):
+            self.connections.pop(number).transport.abortConnection()
+
+
+class KernelAsker:
+    """Tells other members' kernels of epochs, and hears what became of runs there; one connection a kernel."""
+
+    def __init__(self, reactor: Any, told: Callable[[fences.Fates], None]) -> None:
+        self._reactor, self._told = reactor, told
+        self._standing: dict[str, FateLine] = {}
+        self._waiting: dict[str, list[bytes]] = {}
+
+    def ask(self, what: Fence) -> None:
+        """Ask a kernel; one that can not be reached is asked again by whoever asked."""
+        address, line = what.place.kernel, fences.encode_fence(what.partition, what.epoch, what.runs)
+        if address in self._standing:
+            self._standing[address].transport.write(line)
+            return
+        self._waiting.setdefault(address, []).append(line)
+        if len(self._waiting[address]) > 1:
+            return
+        host, _, port = address.rpartition(":")
+        factory = Factory.forProtocol(lambda: FateLine(address, self))  # type: ignore[arg-type]
+        factory.noisy = False
+        endpoint_at(self._reactor, (host, int(port)), CONNECT_S).connect(factory).addCallbacks(
+            lambda _: None, lambda _: self._waiting.pop(address, None))
+
+    def stands(self, address: str, line: FateLine) -> None:
+        """Ask what waited for the connection."""
+        self._standing[address] = line
+        for one in self._waiting.pop(address, ()):
+            line.transport.write(one)
+
+    def ended(self, address: str) -> None:
+        """Let a connection go."""
+        self._standing.pop(address, None)
+
+    def heard(self, fates: fences.Fates) -> None:
+        """Pass an answer on."""
+        self._told(fates)
+
+    def close(self) -> None:
+        """End all connections."""
+        for line in list(self._standing.values()):
+            line.transport.abortConnection()
+
+
+class FateLine(LineOnlyReceiver):
+    """One connection to a kernel that may know the word."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = fences.MAX_LINE
+
+    def __init__(self, address: str, asker: KernelAsker) -> None:
+        self._address, self._asker = address, asker
+
+    def connectionMade(self) -> None:  # noqa: D102
+        self._asker.stands(self._address, self)
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: D102
+        try:
+            self._asker.heard(fences.decode_fates(line))
+        except ProtocolError:  # it does not know the word
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
+        self._asker.ended(self._address)
--- a/sagetrestle/router/core.py
+++ b/sagetrestle/router/core.py
@@ -8,7 +8,7 @@
 
 import random
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple, Union
@@ -19,6 +19,9 @@
 from sagetrestle.router import rendezvous
 
 
+UNOWNED_US = 100_000  # how long to stay away from a key without an owner
+
+
 class End(Enum):
     """How an attempt ended, as far as it says whether anything ran."""
 
@@ -34,6 +37,7 @@
     TRIED = "all members that take work were tried"
     BOUND = "the member that may have run it can not be reached"
     FULL = "no room to remember where it runs"
+    UNOWNED = "the fleet names no owner that is in view"
 
 
 @dataclass(frozen=True)
@@ -103,6 +107,7 @@
         self._view = View()
         self._eligible: list[Member] = []
         self._outstanding: dict[str, int] = {}
+        self._owner_of: Callable[[str], str] | None = None
         self._bindings: dict[str, _Binding] = {}
         self._ends: deque[tuple[int, str]] = deque()
 
@@ -117,6 +122,14 @@
         groups = by_priority(view.eligible())
         self._eligible = groups[0] if groups else []
 
+    def own(self, owner_of: Callable[[str], str] | None) -> None:
+        """Send charges where the fleet says that their keys are owned, by name, and nowhere else."""
+        self._owner_of = owner_of
+
+    def owner(self, key: str) -> str:
+        """Return the name of a key's owner in the fleet, or nothing."""
+        return self._owner_of(key) if self._owner_of is not None else ""
+
     def outstanding(self, name: str) -> int:
         """Return how many attempts are open at a member."""
         return self._outstanding.get(name, 0)
@@ -138,7 +151,14 @@
             return NoRoute(Why.TRIED if self._eligible else Why.NOBODY)
         return Route(self._least_loaded(free, now_us))
 
+    def _owned(self, key: str, owner_of: Callable[[str], str]) -> Union[Route, NoRoute]:
+        """Return the owner, whatever this router thinks of it: it alone may run the key."""
+        member = self._view.members.get(owner_of(key))
+        return Route(member, bound=True) if member is not None else NoRoute(Why.UNOWNED, UNOWNED_US)
+
     def _charge(self, key: str, tried: tuple[str, ...], now_us: int, fixed: bool) -> Union[Route, NoRoute]:
+        if self._owner_of is not None:
+            return self._owned(key, self._owner_of)
         binding = self._bindings.get(key)
         if binding is not None:
             member = self._view.members.get(binding.member)
@@ -193,6 +213,8 @@
         """Count an attempt that is being sent; a charge binds its key from now on."""
         name = route.member.instance.name
         self._outstanding[name] = self._outstanding.get(name, 0) + 1
+        if self._owner_of is not None:
+            key = None  # the fleet knows where it may have run
         if key is not None:
             binding = self._bindings.get(key)
             if binding is None:
