--- a/sagetrestle/lab/processes.py
+++ b/sagetrestle/lab/processes.py
@@ -66,7 +66,7 @@
         self.links = Links(seed)
         self.callers: list[Caller] = []
         self.history = History()
-        self._lost: list[tuple[str, EmulatedKernel]] = []
+        self.lost: list[tuple[str, EmulatedKernel]] = []
 
     async def start(self) -> Rig:
         """Start all, and wait until each caller knows all members."""
@@ -145,7 +145,7 @@
         machine = self.machines.pop(name)
         machine.server.close()
         machine.kernel.end()
-        self._lost.append((name, machine.kernel))
+        self.lost.append((name, machine.kernel))
 
     def stop(self, name: str) -> None:
         """Stop a process in the middle of whatever it does; it loses nothing and knows nothing of it."""
@@ -188,7 +188,7 @@
 
     def finished(self) -> History:
         """Return the history with what ran on all machines there were."""
-        kernels = [*((name, one.kernel) for name, one in self.machines.items()), *self._lost]
+        kernels = [*((name, one.kernel) for name, one in self.machines.items()), *self.lost]
         self.history.ran = [Ran(one.body.decode(), one.call, one.at, name, one.token) for name, kernel in kernels
                             for one in kernel.starts if one.body.startswith(b"charge")]
         return self.history
