--- /dev/null
+++ b/sagetrestle/cli/fleet.py
@@ -0,0 +1,159 @@
+"""``sagetrestle fleet``: how the fleet stands, who owned a key when, and drills on this machine."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import struct
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+
+FILE = click.option("--file", "path", type=click.Path(path_type=Path), default=Path("deploy/fleet.toml"),
+                    show_default=True, help="The operators' file of the fleet.")
+JSON = click.option("--json", "as_json", is_flag=True, help="All of it, as JSON.")
+ANSWER_S = 2.0
+
+
+@click.group()
+def fleet() -> None:
+    """Look at the fleet, and drill its failures."""
+
+
+def _members(path: Path) -> tuple[str, dict[str, tuple[str, int]]]:
+    """Return the fleet's name and its members' addresses, by the file of any member."""
+    from sagetrestle.net.program.fleet import FleetFileError, load_fleet
+    try:
+        config = load_fleet(path)
+    except FleetFileError as error:
+        raise click.ClickException(str(error)) from None
+    return config.file.fleet, dict(config.addresses)
+
+
+async def _ask(name: str, to: str, address: tuple[str, int], what: str, key: str) -> dict[str, Any] | None:
+    """Ask one member; None where it does not answer in time."""
+    from sagetrestle.net.protocol import peer
+    from sagetrestle.peers.frames import VERSION, Answer, Ask, Hello
+    try:
+        async with asyncio.timeout(ANSWER_S):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                for frame in (Hello(VERSION, name, f"cli@{time.time_ns() // 1_000_000}", to, True), Ask(what, key)):
+                    data = peer.encode(frame)
+                    writer.write(struct.pack("!I", len(data)) + data)
+                while True:
+                    size = struct.unpack("!I", await reader.readexactly(4))[0]
+                    frame = peer.decode(await reader.readexactly(size))
+                    if isinstance(frame, Answer):
+                        return json.loads(frame.data)
+            finally:
+                writer.close()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return None
+
+
+def ask_all(path: Path, what: str, key: str = "") -> dict[str, dict[str, Any] | None]:
+    """Ask all members at once; what none of them says is not known."""
+    name, members = _members(path)
+
+    async def all_of_them() -> list[dict[str, Any] | None]:
+        return await asyncio.gather(*(_ask(name, to, address, what, key) for to, address in members.items()))
+    return dict(zip(members, asyncio.run(all_of_them()), strict=True))
+
+
+@fleet.command()
+@FILE
+@JSON
+def status(path: Path, as_json: bool) -> None:
+    """Show members, council, epochs, partitions that nobody may serve, and charges in doubt.
+
+    Read from the members, changes nothing. Exit code 1 where a partition is not served or a member does not answer.
+    """
+    found = ask_all(path, "status")
+    there = [one for one in found.values() if one is not None]
+    served = sum(one["ready"] for one in there)
+    total = max((one["partitions"] for one in there), default=0)
+    if as_json:
+        click.echo(json.dumps(found, indent=1))
+    else:
+        _show(found, served, total)
+    sys.exit(int(len(there) < len(found) or not total or served < total))
+
+
+def _show(found: dict[str, dict[str, Any] | None], served: int, total: int) -> None:
+    from rich.console import Console
+    from rich.table import Table
+    table = Table(title=f"{served} of {total} partitions are served")
+    for name in ("member", "zone", "council", "map", "lease ms", "owned", "ready", "taken over", "adopted", "freed",
+                 "in doubt", "links up", "dropped"):
+        table.add_column(name, justify="left" if name in ("member", "zone", "council") else "right")
+    for name, one in found.items():
+        if one is None:
+            table.add_row(name, "", "does not answer")
+            continue
+        links = one["links"].values()
+        row = (one["council"].get("role", ""), one["map"], one["lease_ms"], one["owned"], one["ready"],
+               one["taken_over"], one["adopted"], one["freed"], len(one["in_doubt"]),
+               f"{sum(bool(link['up']) for link in links)}/{len(links)}", sum(link["dropped"] for link in links))
+        table.add_row(one["member"], one["zone"], *map(str, row))
+    Console(width=150).print(table)
+    newest = max((one for one in found.values() if one is not None), key=lambda one: one["map"], default=None)
+    if newest is not None and newest["unowned"]:
+        click.echo(f"without an owner or with too few backups: {', '.join(map(str, newest['unowned']))}")
+    for one in found.values():
+        for key in one["in_doubt"] if one is not None else ():
+            click.echo(f"in doubt at {one['member']}: {key}")
+
+
+@fleet.command()
+@click.argument("key")
+@FILE
+def explain(key: str, path: Path) -> None:
+    """Show who owned a key when, and what each member knows of its runs."""
+    found = {name: one for name, one in ask_all(path, "explain", key).items() if one is not None and "epoch" in one}
+    if not found:
+        raise click.ClickException("no member answers, or none knows who owns what")
+    newest = max(found.values(), key=lambda one: one["epoch"])
+    click.echo(f"{key}: partition {newest['partition']}, epoch {newest['epoch']}, owner {newest['owner'] or 'nobody'}, "
+               f"backups {', '.join(newest['backups']) or 'none'}")
+    epochs = {(epoch, owner): at for one in found.values() for at, epoch, owner in one["epochs"]}
+    for (epoch, owner), at in sorted(epochs.items()):
+        click.echo(f"  epoch {epoch} since {time.strftime('%H:%M:%S', time.gmtime(at / 1e6))}: {owner or 'nobody'}")
+    for name, one in found.items():
+        for run in one["runs"]:
+            click.echo(f"  {name} knows: run {run['run']} of {run['class']}, {run['standing']}, "
+                       f"at {run['ran_at'] or '?'}")
+        if one["lost"]:
+            click.echo(f"  {name} knows that records were lost: what it does not name is in doubt")
+
+
+@fleet.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--members", "size", type=click.IntRange(3, 24), default=5, show_default=True)
+@click.option("--seconds", type=click.FloatRange(3, 120), default=12.0, show_default=True)
+@click.option("--rate", type=click.FloatRange(1, 200), default=15.0, show_default=True, help="Charges a second.")
+@click.option("--kind", "kinds", multiple=True,
+              type=click.Choice(["kill", "lose", "stop", "cut", "one-way", "loss", "heal", "restart"]),
+              help="Only these faults; may be repeated.")
+def drill(seed: int, size: int, seconds: float, rate: float, kinds: tuple[str, ...]) -> None:
+    """Start a fleet on this machine, make trouble, and show what came of it. Exit code 1 if a promise was broken."""
+    from sagetrestle.lab.campaign import campaign
+
+    async def run() -> Any:
+        task = asyncio.ensure_future(campaign(seed, size, seconds, rate, kinds=kinds))
+        while not task.done():
+            click.echo(".", nl=False)
+            await asyncio.wait([task], timeout=1.0)
+        click.echo()
+        return await task
+    report = asyncio.run(run())
+    click.echo(f"seed {seed}: {report.findings.line()}")
+    click.echo(f"faults: {', '.join(f'{kind} {count}' for kind, count in sorted(report.faults.items())) or 'none'}; "
+               f"{report.refused_epochs} commands of an old epoch refused; "
+               f"a charge took {report.point(0.5):.2f} s (p50), {report.point(0.99):.2f} s (p99)")
+    for one in report.findings.broken:
+        click.echo(f"BROKEN {one}")
+    sys.exit(bool(report.findings.broken))
--- a/sagetrestle/cli/main.py
+++ b/sagetrestle/cli/main.py
@@ -11,6 +11,7 @@
     "tenants": ("sagetrestle.cli.tenants:tenants", "Check the files of identity, and show tenants."),
     "discover": ("sagetrestle.cli.discover:discover", "Find members through DNS-SD records; register and withdraw."),
     "translate": ("sagetrestle.cli.translate:translate", "Stand between old clients and new servers."),
+    "fleet": ("sagetrestle.cli.fleet:fleet", "Show how the fleet stands and who owned a key; drill its failures."),
     "lab": ("sagetrestle.cli.lab:lab", "The laboratory: load and the rotation of keys under it."),
     "demo": ("sagetrestle.cli.demo:demo", "Start an emulated place, send it load, and show what came of it."),
 }
--- a/sagetrestle/net/program/fleet.py
+++ b/sagetrestle/net/program/fleet.py
@@ -94,14 +94,14 @@
         return raft.Terms(file.heartbeat_ms * MS, file.election_ms * MS, 2 * file.election_ms * MS, file.clock_drift)
 
 
-def load_fleet(path: Path, name: str) -> FleetConfig:
-    """Read the operators' file whole, for a member of this name. Raises FleetFileError."""
+def load_fleet(path: Path, name: str | None = None) -> FleetConfig:
+    """Read the operators' file whole, for a member of this name or for a look. Raises FleetFileError."""
     try:
         file: FleetFile = decoded(path.read_bytes(), FleetFile, "toml", FleetFileError)
         names = [one.name for one in file.members]
         if len(set(names)) < len(names):
             raise FleetFileError("members: a name comes twice")
-        if name not in names:
+        if name is not None and name not in names:
             raise FleetFileError(f"members: {name!r} is not one of them")
         if unknown := sorted(set(file.council) - set(names)):
             raise FleetFileError(f"council: {unknown[0]!r} is no member")
