--- a/sagetrestle/lab/campaign.py
+++ b/sagetrestle/lab/campaign.py
@@ -21,6 +21,7 @@
 CLASSES = (LabClass("quick-check", 0.004, 0, 0.5, 0.5, 2.0),
            LabClass("paid-check", 0.008, 0, 0.5, 4.0, 5.0, worth=4.0, charge=True))
 WINDOW_US = 30_000_000
+GIVE_UP_S = 20.0  # of a window of 30 s, from the first try
 FLEET = {"partitions": 16, "new": True}
 
 
@@ -70,7 +71,7 @@
 
     async def one(planned: Planned, first: int) -> None:
         began = time.monotonic()
-        if (await rig.charge(planned, first)).how == "served":
+        if (await rig.charge(planned, first, GIVE_UP_S)).how == "served":
             report.took_s.append(time.monotonic() - began)
     while (at := at + rng.expovariate(rate)) < seconds:
         await asyncio.sleep(max(0.0, start + at - time.monotonic()))
--- a/sagetrestle/ownership/planner.py
+++ b/sagetrestle/ownership/planner.py
@@ -28,6 +28,7 @@
         self._able = sorted(id for id in self._places if id not in leaving)
         self._owned: Counter[str] = Counter(one.owner for one in known.shares if one.owner in alive)
         self._copied: Counter[str] = Counter(id for one in known.shares for id in one.copies if id in alive)
+        self._orphans = False
         self._moving = sum(bool(one.joining) and len(one.backups) >= terms.backups for one in known.shares)
 
     def changes(self) -> tuple[tuple[int, int, Share], ...]:
@@ -35,7 +36,9 @@
         if not self._able:
             return ()
         found = []
-        for at, share in enumerate(self._map.shares):
+        # Whoever takes over for the dead comes first: what is left to be balanced is seen after that.
+        self._orphans = any(one.owner not in self._alive for one in self._map.shares)
+        for at, share in sorted(enumerate(self._map.shares), key=lambda one: one[1].owner in self._alive):
             wanted = self._wanted(at, share)
             if msgspec.structs.replace(wanted, epoch=share.epoch, before=share.before) != share:
                 found.append((at, share.epoch, msgspec.structs.replace(wanted, epoch=share.epoch + 1)))
@@ -82,7 +85,7 @@
             return None
         best = min(ready, key=lambda id: (self._load(id), id))
         weight = max(1, self._places[best].weight)
-        if owner not in self._leaving and (self._owned[best] + 1) / weight >= self._load(owner):
+        if owner not in self._leaving and (self._orphans or (self._owned[best] + 1) / weight >= self._load(owner)):
             return None
         self._owned[owner] -= 1
         self._owned[best] += 1
@@ -107,7 +110,7 @@
             best = min(others, key=lambda id: (self._zone(id) in zones, self._copied[id] + self._owned[id], id))
             self._copied[best] += 1
             joining += (best,)
-        if not joining and self._moving < self._terms.moves:
+        if not joining and self._moving < self._terms.moves and not self._orphans:
             others = [id for id in self._able if id != owner and id not in backups]
             least = min(others, key=lambda id: (self._load(id), id), default=None)
             if least is not None and (self._owned[least] + 1) / max(1, self._places[least].weight) < self._load(owner):
