Tell the next owner of ends that a deposed one took, and test records one message at a time

Seen by tests/takeover/test_books.py: an owner that did not know yet that it was deposed kept a run's end in its own stream (books.py, _share), so the key stayed in doubt at the next owner; a kernel's word on a run that was not asked after broke where records were lost (books.py, fate); a member that joined could be taken off the map before it asked again (node.py, _govern). Ruled out: a second run, as none of these frees a key.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -31,6 +31,7 @@
     tests: tuple[str, ...]
 
 
+FLEET = ("tests/takeover",)
 COUNCIL = ("tests/consensus",)
 JOURNAL = ("tests/store/test_journal.py", "tests/recovery/test_effects.py")
 MUTANTS = (
@@ -67,6 +68,45 @@
            "len(old ^ set(config.voters)) > 1", "False", COUNCIL),
     Mutant("a spoilt store used", "sagetrestle/store/votes.py",
            'if total != signed_sum(name.encode() + b"\\0" + data):', "if False:", ("tests/store/test_votes.py",)),
+    Mutant("a lease counted from the answer", "sagetrestle/ownership/lease.py",
+           "self.until_us = max(self.until_us, asked + self.lease_us)",
+           "self.until_us = max(self.until_us, self.due_us + self.lease_us)", ("tests/ownership", *FLEET)),
+    Mutant("a grantor that forgets the drift", "sagetrestle/ownership/lease.py",
+           "int(self.lease_us * (1 + self.drift)) + 1", "self.lease_us", ("tests/ownership", *FLEET)),
+    Mutant("a new leader that waits no lease out", "sagetrestle/ownership/lease.py",
+           "self.until.get(id, self.since_us + self.span_us)", "self.until.get(id, 0)", ("tests/ownership", *FLEET)),
+    Mutant("a lease renewed while what gives its work away is not committed", "sagetrestle/takeover/node.py",
+           "self.seat.commit < self.seat.last[0] and not self.lead.grantor.may_hold(sender, self._now)", "False",
+           FLEET),
+    Mutant("a lease taken by a member that does not know the map", "sagetrestle/takeover/node.py",
+           "if books.map.version >= version:", "if True:", FLEET),
+    Mutant("a lease not asked for before acting as owner", "sagetrestle/takeover/node.py",
+           "return self.holder.holds(now) and self.books.owns(at, now)", "return self.books.owns(at, now)", FLEET),
+    Mutant("ends that a deposed owner took kept to itself", "sagetrestle/takeover/books.py",
+           "self._telling[(at, entry.key)] = entry._replace(server=self.me)\n        copy.asks",
+           "pass\n        copy.asks", FLEET),
+    Mutant("a run started before its record is at the backups", "sagetrestle/takeover/books.py",
+           "while copy.asks and copy.asks[0][0] <= everywhere:", "while copy.asks:", FLEET),
+    Mutant("a joining member counted without all records", "sagetrestle/takeover/books.py",
+           "if copy.acked.get(id, -1) >= since)", "if True)", FLEET),
+    Mutant("a run started without a joining member that counts", "sagetrestle/takeover/books.py",
+           "for id in (*backups, *copy.required)", "for id in backups", FLEET),
+    Mutant("records of an epoch that is over taken", "sagetrestle/takeover/books.py",
+           "if copy is None or what.epoch != copy.share.epoch or sender != copy.share.owner:\n            newer",
+           "if copy is None:\n            newer", FLEET),
+    Mutant("a copy with other records counted as the same", "sagetrestle/takeover/books.py",
+           "if copy.label != what.share.epoch and copy.complete and copy.label == what.label and copy.at <= what.at:",
+           "if copy.label != what.share.epoch and copy.complete:", FLEET),
+    Mutant("lost records taken for none", "sagetrestle/takeover/books.py",
+           "if share.origin is not Origin.NEW:", "if False:", FLEET),
+    Mutant("an intent of an owner before taken for free", "sagetrestle/takeover/judge.py",
+           "if effect is None or effect.standing is Standing.FREE:",
+           "if effect is None or effect.standing is Standing.FREE or effect.server != node.me:", FLEET),
+    Mutant("a new owner that does not wait for the one before", "sagetrestle/takeover/books.py",
+           "copy.clear_us = now + int(self.terms.lease_us * (1 + 2 * self.terms.drift)) + 1", "pass", FLEET),
+    Mutant("the token of a command not checked", "sagetrestle/lab/kernel.py",
+           "if token[1] < self._epochs.get(token[0], 0) or call in self._fates:", "if False:",
+           ("tests/fleet/test_tokens.py",)),
 )
 
 
--- a/sagetrestle/takeover/books.py
+++ b/sagetrestle/takeover/books.py
@@ -235,6 +235,11 @@
         decisions: list[Decision] = []
         if old.owner == self.me and old is not share:
             decisions += [TurnAway(id, share.owner) for _, id in copy.asks]
+            # Ends that it took as the owner, and that the next one may not have: those are to be told.
+            first = copy.at - len(copy.tail) + 1
+            for place, entry in enumerate(copy.tail, first):
+                if entry.kind in (Kind.OUTCOME, Kind.FAILED, Kind.NEVER) and place > copy.acked.get(share.owner, -1):
+                    self._telling[(at, entry.key)] = entry._replace(server=self.me)
         copy.asks.clear()
         copy.transfers.clear()
         if not mine:
@@ -447,7 +452,7 @@
         if copy is None or copy.share.owner != self.me or epoch > copy.share.epoch:
             return []
         effect = copy.table.get(copy.doubts.get(run, ""), unix)
-        if effect is None or effect.standing is not Standing.IN_DOUBT or effect.server == self.me:
+        if effect is None or effect.standing is not Standing.IN_DOUBT or effect.server in ("", self.me):
             return []
         return self._settle(now, at, copy, effect, kind, result, unix)
 
--- a/sagetrestle/takeover/node.py
+++ b/sagetrestle/takeover/node.py
@@ -351,7 +351,9 @@
             origin = Origin.NEW if self.terms.new else Origin.LOST
             self._propose(Founded(self.terms.partitions, (self._unix // 1_000_000) << 20, origin))
         elif lead.wanting:
-            self._propose(Joined(lead.wanting.pop(next(iter(lead.wanting)))))
+            place = lead.wanting.pop(next(iter(lead.wanting)))
+            lead.grantor.grant(place.id, now)  # so that it is not gone before it could ask again
+            self._propose(Joined(place))
         elif not self._reseat():
             known = {one.id for one in self.agreed.places}
             lead.grantor.forget(known)
--- /dev/null
+++ b/tests/takeover/test_books.py
@@ -0,0 +1,329 @@
+"""Records of work by themselves: an owner, its backups, and what passes between them, one message at a time."""
+
+import unittest
+
+from sagetrestle.consensus import core as raft
+from sagetrestle.ownership.values import Arranged, FleetMap, FleetTerms, Founded, Joined, Origin, Place, Share
+from sagetrestle.peers.links import Links
+from sagetrestle.recovery.effects import Entry, Kind, Standing
+from sagetrestle.takeover import books, messages, node
+from sagetrestle.takeover.books import Books, Marks, Resolved, Say, Start, TurnAway, mark
+
+S = 1_000_000
+WINDOW = 30 * S
+TERMS = FleetTerms(partitions=1)
+A, B, C = "a@1", "b@1", "c@1"
+PLACES = tuple(Place(id, kernel=f"{id}:1") for id in (A, B, C))
+
+
+def intent(key, at=0, server=A):
+    return Entry(Kind.INTENT, key, at, server, 0, mark(Marks(f"run {key}", "paid", "t", key, b"d")))
+
+
+class BooksCase(unittest.TestCase):
+    """Three members and one partition; messages pass at once unless they are held."""
+
+    def setUp(self):
+        self.books = {id: Books(id, TERMS, WINDOW) for id in (A, B, C)}
+        self.now, self.version, self.held, self.said = 0, 0, set(), []
+        self.done = {id: [] for id in self.books}
+
+    def arrange(self, share, knows=(A, B, C)):
+        """Have members know a share; those who do not learn it from others or not at all."""
+        self.version += 1
+        for id in knows:
+            self.take(id, self.books[id].see(self.now, self.now, FleetMap(self.version, (share,), PLACES)))
+
+    def take(self, id, decisions):
+        for what in decisions:
+            if not isinstance(what, Say):
+                self.done[id].append(what)
+            elif (id, what.to) not in self.held:
+                self.said.append((id, what.to, what.message))
+                self.take(what.to, self.hear(self.books[what.to], id, what.message))
+
+    def hear(self, one, sender, message):
+        now, unix = self.now, self.now
+        match message:
+            case messages.Base():
+                return one.based(now, unix, sender, message)
+            case messages.Records():
+                return one.records(sender, message)
+            case messages.Recorded():
+                return one.recorded(now, sender, message)
+            case messages.Chunk():
+                return one.chunk(sender, message)
+            case messages.Fed():
+                return one.fed(now, sender, message)
+            case messages.Stale():
+                return one.stale(now, unix, message)
+            case messages.Told():
+                return one.told(now, unix, sender, message)
+            case messages.AskSeen():
+                return one.ask_seen(now, unix, sender, message)
+            case messages.Thanks():
+                one.thanked(message)
+            case messages.Seen():
+                one.seen(sender, message)
+        return []
+
+    def record(self, id, key):
+        self.take(id, self.books[id].record(self.now, 0, f"run {key}", intent(key, self.now, id)))
+
+    def passed(self, wait=books.AGAIN_US):
+        self.now += wait
+        for id, one in self.books.items():
+            self.take(id, one.passed(self.now, self.now))
+
+    def started(self, id=A):
+        return [one.id for one in self.done[id] if isinstance(one, Start)]
+
+    def standing(self, id, key):
+        effect = self.books[id].known(0, key, self.now)
+        return (effect.standing, effect.server) if effect is not None else None
+
+
+class OwnerTest(BooksCase):
+    """Before a run starts."""
+
+    def setUp(self):
+        super().setUp()
+        self.arrange(Share(5, A, (B, C), (), Origin.NEW))
+
+    def test_a_run_starts_when_the_last_backup_has_its_record(self):
+        self.held = {(C, A)}
+        self.record(A, "K")
+        self.assertEqual([], self.started())
+        self.held = set()
+        self.passed()
+        self.assertEqual(["run K"], self.started())
+        self.assertEqual((Standing.IN_DOUBT, A), self.standing(B, "K"))
+
+    def test_lost_records_and_lost_acknowledgements_are_made_good_in_order(self):
+        for number, held in enumerate(({(A, B)}, {(B, A)}, {(A, C), (C, A)})):
+            self.held = held
+            self.record(A, f"K{number}")
+        self.held = set()
+        self.passed()
+        self.passed()
+        self.assertEqual(["run K0", "run K1", "run K2"], self.started())
+
+    def test_a_backup_that_knows_a_later_epoch_takes_no_record_of_an_earlier_one(self):
+        self.arrange(Share(6, B, (C,), (), Origin.KEPT), knows=(B, C))
+        self.record(A, "K")
+        self.assertEqual([], self.started())
+        self.assertIsNone(self.standing(B, "K"))
+        self.assertIn(TurnAway("run K", B), self.done[A])
+        self.assertFalse(self.books[A].owns(0, self.now))
+
+    def test_one_that_was_not_an_owner_s_backup_gets_no_say_by_acknowledging(self):
+        self.held = {(C, A)}
+        self.record(A, "K")
+        self.take(A, self.books[A].recorded(self.now, "z@1", messages.Recorded(0, 5, 9)))
+        self.take(A, self.books[A].recorded(self.now, C, messages.Recorded(0, 4, 9)))
+        self.assertEqual([], self.started())
+
+    def test_with_fewer_backups_than_the_least_nothing_starts_until_another_has_all(self):
+        self.arrange(Share(6, A, (), (C,), Origin.NEW))
+        self.assertFalse(self.books[A].recordable(0))
+        self.arrange(Share(7, A, (C,), (), Origin.NEW))
+        self.record(A, "K")
+        self.assertEqual(["run K"], self.started())
+
+
+class JoiningTest(BooksCase):
+    """A member that gets all records while charges go on."""
+
+    def test_it_counts_as_having_all_only_with_what_was_started_before_and_holds_up_what_comes_after(self):
+        self.arrange(Share(5, A, (B,), (), Origin.NEW))
+        for number in range(3):
+            self.record(A, f"K{number}")
+        self.held = {(A, C), (C, A)}
+        self.arrange(Share(6, A, (B,), (C,), Origin.NEW))
+        self.record(A, "K3")
+        self.assertEqual(4, len(self.started()))
+        self.assertEqual((), self.books[A].synced())
+        self.held = {(A, C)}
+        copy = self.books[A].copies[0]
+        # It says that it has nearly all: from here on nothing starts without it, and it does not have all yet.
+        self.take(A, self.books[A].recorded(self.now, C, messages.Recorded(0, 6, copy.at - 1)))
+        self.assertEqual((), self.books[A].synced())
+        self.record(A, "K4")
+        self.assertEqual(4, len(self.started()))
+        self.held = set()
+        for _ in range(4):
+            self.passed()
+        self.assertEqual(5, len(self.started()))
+        self.assertEqual(((0, 6, C),), self.books[A].synced())
+        self.assertEqual((Standing.IN_DOUBT, A), self.standing(C, "K4"))
+
+    def test_many_records_come_in_chunks_that_are_sent_again_where_they_were_lost(self):
+        self.arrange(Share(5, A, (B,), (), Origin.NEW))
+        for number in range(books.TAIL + 500):
+            self.record(A, f"K{number}")
+        self.held = {(C, A)}
+        self.arrange(Share(6, A, (B,), (C,), Origin.NEW))
+        self.held = set()
+        for _ in range(30):
+            self.passed()
+        self.assertEqual(((0, 6, C),), self.books[A].synced())
+        self.assertEqual(len(self.books[A].copies[0].table.effects), len(self.books[C].copies[0].table.effects))
+
+
+class TakeoverTest(BooksCase):
+    """A new owner, by state of the work at the loss."""
+
+    def setUp(self):
+        super().setUp()
+        self.arrange(Share(5, A, (B, C), (), Origin.NEW))
+
+    def lose(self, *, to=B, others=(C,)):
+        self.held = {(A, id) for id in (B, C)} | {(id, A) for id in (B, C)}
+        self.arrange(Share(6, to, others, (), Origin.KEPT), knows=(B, C))
+
+    def test_a_record_that_reached_one_backup_of_two_binds_nobody_and_is_gone_from_that_one_too(self):
+        self.held = {(A, B)}
+        self.record(A, "K")
+        self.assertEqual((Standing.IN_DOUBT, A), self.standing(C, "K"))
+        self.lose()
+        self.assertIsNone(self.standing(B, "K"))
+        for _ in range(3):
+            self.passed()
+        self.assertIsNone(self.standing(C, "K"))
+        self.record(B, "K")
+        self.assertEqual(["run K"], self.started(B))
+
+    def test_what_may_have_started_is_asked_after_and_never_free_by_itself(self):
+        self.record(A, "K")
+        self.lose()
+        fences = [one for one in self.done[B] if isinstance(one, books.Fence)]
+        self.assertEqual([(A, 6, ("run K",))], [(one.place.id, one.epoch, one.runs) for one in fences])
+        self.assertEqual((Standing.IN_DOUBT, A), self.standing(B, "K"))
+        self.passed(books.ASK_EVERY_US)
+        self.assertEqual(2, len([one for one in self.done[B] if isinstance(one, books.Fence)]))
+
+    def test_a_kernels_word_settles_it_at_all_copies_and_a_word_of_a_later_epoch_is_not_ours(self):
+        for key in ("K", "L", "M"):
+            self.record(A, key)
+        self.lose()
+        self.take(B, self.books[B].fate(self.now, 0, 7, "run K", Kind.NEVER, b"", self.now))
+        self.assertEqual((Standing.IN_DOUBT, A), self.standing(B, "K"))
+        for key, kind, standing in (("K", Kind.OUTCOME, Standing.DONE), ("L", Kind.NEVER, Standing.FREE),
+                                    ("M", Kind.FAILED, Standing.FAILED)):
+            self.take(B, self.books[B].fate(self.now, 0, 6, f"run {key}", kind, b"r", self.now))
+            self.assertIn(Resolved(key, f"run {key}", standing, b"r"), self.done[B])
+            for id in (B, C):
+                self.assertEqual(None if standing is Standing.FREE else standing,
+                                 (self.standing(id, key) or (None,))[0])
+
+    def test_a_result_that_comes_after_the_takeover_began_is_taken_from_the_one_that_ran_it_and_no_other(self):
+        self.record(A, "K")
+        self.lose()
+        end = Entry(Kind.OUTCOME, "K", self.now, result=b"r")
+        self.take(B, self.books[B].told(self.now, self.now, C, messages.Told(0, end)))
+        self.assertEqual((Standing.IN_DOUBT, A), self.standing(B, "K"))
+        self.take(A, self.books[A].ended(self.now, 0, end))
+        self.assertEqual((Standing.IN_DOUBT, A), self.standing(B, "K"))  # it can not be heard
+        self.held = set()
+        self.arrange(Share(6, B, (C,), (), Origin.KEPT), knows=(A,))
+        self.passed(S)
+        self.assertEqual(Standing.DONE, self.standing(B, "K")[0])
+        self.assertEqual({}, self.books[A]._telling)
+
+    def test_a_third_owner_knows_what_the_first_ran_and_what_the_second_learnt(self):
+        for key in ("K", "L"):
+            self.record(A, key)
+        self.lose()
+        self.take(B, self.books[B].fate(self.now, 0, 6, "run K", Kind.OUTCOME, b"r", self.now))
+        self.held |= {(B, C), (C, B)}
+        self.arrange(Share(7, C, (), (), Origin.KEPT), knows=(C,))
+        self.assertEqual(Standing.DONE, self.standing(C, "K")[0])
+        self.assertEqual((Standing.IN_DOUBT, A), self.standing(C, "L"))
+
+    def test_where_all_copies_are_gone_every_key_is_in_doubt_for_a_window(self):
+        self.record(A, "K")
+        fresh = Books("d@1", TERMS, WINDOW)
+        fresh.see(self.now, self.now, FleetMap(9, (Share(6, "d@1", ("e@1",), (), Origin.LOST),), PLACES))
+        for key in ("K", "never seen"):
+            self.assertIs(Standing.IN_DOUBT, fresh.known(0, key, self.now).standing)
+            self.assertIsNone(fresh.known(0, key, self.now + WINDOW + 1))
+
+    def test_an_owner_that_follows_a_living_one_waits_until_that_one_knows_or_its_lease_must_be_over(self):
+        self.held = {(B, A), (A, B)}
+        self.arrange(Share(6, B, (C, A), (), Origin.KEPT, A), knows=(B, C))
+        self.assertFalse(self.books[B].owns(0, self.now))
+        self.assertTrue(self.books[B].owns(0, self.now + int(1.03 * S)))
+        self.held = set()
+        self.passed()
+        self.assertTrue(self.books[B].owns(0, self.now))
+        self.assertFalse(self.books[A].owns(0, self.now))
+
+
+class NodeTest(unittest.TestCase):
+    """A member's lease, and a leader's."""
+
+    def setUp(self):
+        seat = raft.begin("a#1", ("a",), raft.Terms(), 1, 0)
+        self.node = node.Node(PLACES[0], ("a",), TERMS, Links("f", A, ("a", "b", "c"), 1, 0), WINDOW, seat)
+        self.said = []
+        say = self.node._say
+        self.node._say = lambda to, message: self.said.append((to, message)) if to in (B, C) else say(to, message)
+        self.now, self.writes = 0, True
+        self.go(3 * S)
+
+    def go(self, wait):
+        end = self.now + wait
+        while self.now < end:
+            self.now += 20_000
+            self.take(self.node.passed(self.now, self.now))
+
+    def take(self, decisions):
+        for what in decisions:
+            if isinstance(what, node.Persist) and self.writes:
+                self.take(self.node.persisted(self.now, self.now, True))
+
+    def renew(self, id=B, number=1):
+        self.said.clear()
+        self.node._hear(id, messages.Renew(number, next(one for one in PLACES if one.id == id), 0))
+        return [message for to, message in self.said if isinstance(message, messages.Granted)]
+
+    def test_a_lone_council_gives_itself_all_and_a_member_that_asks_joins_and_then_gets_its_lease(self):
+        self.assertEqual(A, self.node.agreed.shares[0].owner)
+        self.assertEqual([], self.renew())
+        self.go(S)
+        self.assertIsNotNone(self.node.agreed.place(B))
+        granted = self.renew()
+        self.assertEqual(self.node.agreed.version, granted[0].version)
+        self.assertEqual(self.node.agreed, granted[0].map)
+
+    def test_a_lease_that_ended_is_not_renewed_while_what_gives_its_work_away_is_not_committed(self):
+        self.renew()
+        self.go(S)
+        self.renew()
+        self.go(int(1.2 * S))  # it is over
+        self.writes = False
+        self.node._propose(Arranged(gone=("z@1",)))
+        self.assertEqual([], self.renew())
+
+    def test_a_grant_counts_only_with_the_map_it_was_given_under(self):
+        member = node.Node(PLACES[1], ("a",), TERMS, Links("f", B, ("a", "b"), 1, 0), WINDOW)
+        member.passed(1_000, 0)
+        number = member.holder.number
+        member._hear(A, messages.Granted(number, 5))
+        self.assertFalse(member.holder.holds(2_000))
+        member.passed(S, 0)
+        known = FleetMap(5, (Share(3, B, (C,), (), Origin.NEW),), PLACES)
+        member._hear(A, messages.Granted(member.holder.number, 5, known))
+        self.assertTrue(member.holder.holds(S + 2_000))
+        self.assertTrue(member.owns(0, S + 2_000))
+        self.assertFalse(member.owns(0, 3 * S))
+
+    def test_a_member_whose_store_can_not_be_written_says_so_and_leads_no_more(self):
+        self.writes = False
+        self.node._propose(Joined(PLACES[2]))
+        told = self.node.persisted(self.now, self.now, False)
+        self.assertTrue(any("no voice" in getattr(one, "text", "") for one in told))
+        self.assertFalse(raft.serving(self.node.seat, self.now))
+
+    def test_founding_anew_gives_epochs_over_those_of_before(self):
+        self.assertGreater(Founded(1, (1_796_000_001) << 20, Origin.LOST).epoch, ((1_796_000_000) << 20) + 900_000)
