Refuse a key for good after two owners were lost with it before it had begun to run

Need: a request that ends each process that takes it up may cost two at most. Change: a record that a kernel says never ran carries how many owners were lost with it; at two it fails, at all members alike, and the log names it. The model has such a request, and clocks past the stated drift.

--- a/sagetrestle/net/routing/fleet.py
+++ b/sagetrestle/net/routing/fleet.py
@@ -148,6 +148,7 @@
         """Have the try's intent at all backups before it starts."""
         request, what = entry.request, self._marks(turn, entry.request)
         name = judge.effect_key(what.cls, what.tenant, what.key)
+        what = what._replace(losses=self.node.books.losses(verdict.partition, name))
         intent = EffectEntry(Kind.INTENT, name, turn.unix(request.arrived), self.node.me, 0, books.mark(what))
         entry.token = (verdict.partition, verdict.share.epoch, self.node.me)
         entry.recorded = False
--- a/sagetrestle/recovery/effects.py
+++ b/sagetrestle/recovery/effects.py
@@ -139,8 +139,8 @@
         if entry.kind is Kind.INTENT and old is not None and old.standing is Standing.IN_DOUBT \
                 and (old.server, old.boot) != (entry.server, entry.boot):
             raise EffectError(f"key {entry.key!r}: may have run at {old.server}, and is meant for {entry.server}")
-        if standing is Standing.FREE and self.lost_us is None:
-            self.effects.pop(entry.key, None)  # else it is kept, as the one key of the unnamed that is free
+        if standing is Standing.FREE and self.lost_us is None and not entry.digest:
+            self.effects.pop(entry.key, None)  # else it is kept: free among unnamed ones, or with its mark
             return None
         first = old.at_us if old is not None else entry.at_us
         server, boot = (entry.server, entry.boot) if entry.kind is Kind.INTENT else (
@@ -171,7 +171,8 @@
                 continue
             entries.append(Entry(Kind.INTENT, one.key, one.at_us, one.server, one.boot, one.digest))
             if one.standing in kinds:
-                entries.append(Entry(kinds[one.standing], one.key, one.at_us, result=one.result))
+                marked = one.digest if one.standing is Standing.FREE else b""
+                entries.append(Entry(kinds[one.standing], one.key, one.at_us, digest=marked, result=one.result))
         return entries
 
     def sweep(self, now_us: int) -> int:
--- a/sagetrestle/takeover/books.py
+++ b/sagetrestle/takeover/books.py
@@ -23,6 +23,7 @@
 AGAIN_US = 100_000  # until what was not acknowledged is sent again
 ASK_EVERY_US = 1_000_000  # between questions after what an owner before may have run
 TAIL = 4_096  # entries kept to bring a copy up to date without all of them
+MOST_LOSSES = 2  # owners that one key may cost
 CHUNKS_OUT = 4  # chunks of a transfer that are not acknowledged
 MOST_PLACES = 1_000
 MOST_TOLD = 100_000  # ends of runs that an owner after this one has yet to take
@@ -77,24 +78,28 @@
 
 
 class Marks(NamedTuple):
-    """What an entry's digest tells of its try, packed by ``mark``."""
+    """What an entry's digest tells of its try, packed by ``mark``.
+
+    ``losses`` counts owners that were lost with the key in hand before it had begun to run.
+    """
 
     id: str
     cls: str
     tenant: str
     key: str
     body: bytes  # its digest
+    losses: int = 0
 
 
 def mark(what: Marks) -> bytes:
     """Pack a try's marks."""
-    return b"\0".join([*(one.encode() for one in what[:4]), what.body])
+    return b"\0".join([*(one.encode() for one in what[:4]), b"%d" % what.losses, what.body])
 
 
 def marks(digest: bytes) -> Marks:
     """Unpack a try's marks."""
-    id, cls, tenant, key, body = digest.split(b"\0", 4)
-    return Marks(id.decode(), cls.decode(), tenant.decode(), key.decode(), body)
+    id, cls, tenant, key, losses, body = digest.split(b"\0", 5)
+    return Marks(id.decode(), cls.decode(), tenant.decode(), key.decode(), body, int(losses))
 
 
 @dataclass(slots=True)
@@ -172,6 +177,12 @@
         copy = self.copies.get(at)
         return copy is not None and len(copy.share.backups) >= self.terms.least
 
+    def losses(self, at: int, effect_key: str) -> int:
+        """Return how many owners were lost with a key in hand that never ran."""
+        effect = self.copies[at].table.effects.get(effect_key) if at in self.copies else None
+        return marks(effect.digest).losses if effect is not None and effect.standing is Standing.FREE \
+            and effect.digest else 0
+
     def record(self, now: int, at: int, id: str, entry: Entry) -> list[Decision]:
         """Record an intent; ``Start`` follows once all backups have it. Raises EffectError."""
         copy = self.copies[at]
@@ -458,14 +469,20 @@
 
     def _settle(self, now: int, at: int, copy: Copy, effect: Effect, kind: Kind, result: bytes,
                 unix: int) -> list[Decision]:
+        said, notes = marks(effect.digest), []
         entry = Entry(kind, effect.key, max(unix, effect.at_us), result=result)
+        if kind is Kind.NEVER:
+            entry = entry._replace(digest=mark(said._replace(losses=said.losses + 1)))
+            if said.losses + 1 >= MOST_LOSSES:  # whoever takes it up is lost: nobody does any more
+                kind, entry = Kind.FAILED, Entry(Kind.FAILED, effect.key, entry.at_us)
+                notes.append(Note(f"key {said.key} is refused from now on: {MOST_LOSSES} owners were lost with it"))
         copy.table.take(entry)
-        copy.doubts.pop(marks(effect.digest).id, None)
+        copy.doubts.pop(said.id, None)
         self._extend(copy, [entry])
         standing = {Kind.OUTCOME: Standing.DONE, Kind.FAILED: Standing.FAILED, Kind.NEVER: Standing.FREE}[kind]
         self.adopted += kind is not Kind.NEVER
         self.freed += kind is Kind.NEVER
-        return [Resolved(effect.key, marks(effect.digest).id, standing, result), *self._stream(now, at, copy)]
+        return [*notes, Resolved(effect.key, said.id, standing, result), *self._stream(now, at, copy)]
 
     def told(self, now: int, unix: int, sender: str, what: messages.Told) -> list[Decision]:
         """Take the end of a run from the one that ran it as owner before."""
--- a/tests/takeover/test_fleet_model.py
+++ b/tests/takeover/test_fleet_model.py
@@ -18,6 +18,24 @@
             world.charge(f"K{number}")
         self.assertTrue(world.run(5, lambda: len(world.served) == 40), world.outcomes)
 
+    def test_a_request_that_ends_whoever_takes_it_up_costs_two_members_and_is_refused_then(self):
+        world = World(3, size=7)
+        self.assertTrue(world.run(10, world.ready))
+        world.charge("poison", tries=60)
+        self.assertTrue(world.run(30, lambda: world.outcomes["failed"]), world.outcomes)
+        world.run(5)
+        self.assertEqual(2, len(world.poisoned))
+        self.assertEqual(0, len(world.ran["poison"]))
+
+    def test_clocks_past_the_stated_drift_may_give_two_owners_and_no_second_run(self):
+        for seed in range(4):
+            world = World(seed)
+            world.owners_may_overlap = True
+            for at, one in enumerate(world.members.values()):
+                one.rate = (0.6, 1.0, 1.5)[at % 3]
+            world.run(8)
+            self.campaign(world)
+
     def test_seeds(self):
         served = asked = faults = 0
         for seed in range(12):
