--- a/sagetrestle/net/program/fleet.py
+++ b/sagetrestle/net/program/fleet.py
@@ -18,8 +18,8 @@
 from sagetrestle.consensus import core as raft
 from sagetrestle.forms import decoded
 from sagetrestle.net.protocol.fences import Fates
-from sagetrestle.net.routing.fleet import HANDLERS, Fleet, join_fleet
-from sagetrestle.net.routing.inputs import FateTold, FromFleet, Input, SeatTaken, StoreDone
+from sagetrestle.net.routing.fleet import HANDLERS, FateTold, Fleet, SeatTaken, StoreDone, join_fleet
+from sagetrestle.net.routing.inputs import FromFleet, Input
 from sagetrestle.net.routing.keys import MARGIN_US
 from sagetrestle.net.routing.state import State
 from sagetrestle.net.transport.peer_link import KernelAsker, PeerLinks
--- a/sagetrestle/net/protocol/fences.py
+++ b/sagetrestle/net/protocol/fences.py
@@ -15,7 +15,7 @@
 
 from sagetrestle.net.protocol.errors import ProtocolError
 
-MAX_LINE = 64 * 1024
+MAX_LINE = 4 << 20  # results of all the runs that one question may name
 HOWS = ("done", "crashed", "never")
 
 
--- a/sagetrestle/net/routing/fleet.py
+++ b/sagetrestle/net/routing/fleet.py
@@ -8,7 +8,9 @@
 
 import hashlib
 from collections.abc import Iterable
+from typing import NamedTuple
 
+from sagetrestle.consensus.core import Raft
 from sagetrestle.handover.messages import KeyName, Record
 from sagetrestle.interface import Gone, Outcome, RunEnded
 from sagetrestle.net.routing import inputs
@@ -20,6 +22,7 @@
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import Answer, Failed, FailCause, Refused, Request, Served
 from sagetrestle.ownership.values import Share
+from sagetrestle.peers import links
 from sagetrestle.recovery.effects import EffectError, Kind, Standing
 from sagetrestle.recovery.effects import Entry as EffectEntry
 from sagetrestle.takeover import books, judge, node
@@ -29,6 +32,31 @@
 LOOK_EVERY_US = 200_000  # for tries that wait and that nobody waits for any more
 
 
+class StoreDone(NamedTuple):
+    """The council's store has what it was given; False: it can not be written."""
+
+    done: bool
+
+
+class FateTold(NamedTuple):
+    """A kernel told what became of a run of an owner before."""
+
+    partition: int
+    epoch: int
+    run: str
+    kind: Kind
+    result: bytes
+
+
+class SeatTaken(NamedTuple):
+    """The council's store was begun anew."""
+
+    seat: Raft
+
+
+FleetEvent = links.Event | StoreDone | FateTold | SeatTaken
+
+
 class Fleet:
     """A member's say on keyed runs."""
 
@@ -209,15 +237,15 @@
         """Be on the way out: others take what is owned here."""
         self.perform(turn, self.node.leave(turn.now, turn.unix()))
 
-    def heard(self, turn: Turn, event: inputs.FleetEvent) -> None:
+    def heard(self, turn: Turn, event: FleetEvent) -> None:
         """Take what came from other members, from the council's store, or from a kernel."""
         now, unix = turn.now, turn.unix()
         match event:
-            case inputs.StoreDone(done):
+            case StoreDone(done):
                 decisions = self.node.persisted(now, unix, done)
-            case inputs.FateTold(partition, epoch, run, kind, result):
+            case FateTold(partition, epoch, run, kind, result):
                 decisions = self.node.fate(now, unix, partition, epoch, run, kind, result)
-            case inputs.SeatTaken(seat):
+            case SeatTaken(seat):
                 decisions = self.node.seated(now, unix, seat)
             case _:
                 decisions = self.node.came(now, unix, event)
--- a/sagetrestle/net/routing/gate.py
+++ b/sagetrestle/net/routing/gate.py
@@ -8,39 +8,40 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:  # the state holds the gate
+    from typing import Protocol
+
     from sagetrestle.net.routing.state import Entry
     from sagetrestle.net.routing.turn import Turn
     from sagetrestle.net.routing.values import Answer, Request
 
+    class Judge(Protocol):
+        """Somebody besides the window who has a say."""
 
-class Word(Enum):
-    """What a keyed run may do."""
-
-    START = "start"
-    WAIT = "wait for a word"
-    OVER = "joined to another try, or answered: there is nothing left to start"
+        def judge(self, turn: Turn, entry: Entry) -> Word:
+            """Say whether a keyed try may run that the window allows."""
 
+        def join(self, turn: Turn, entry: Entry) -> bool:
+            """Have a try that the window forbids wait for the one of its key that ran elsewhere; False if none did."""
 
-class Judge(Protocol):
-    """Somebody besides the window who has a say."""
+        def wait(self, by: str, id: str) -> bool:
+            """Have a try wait for the one that it repeats, if that runs elsewhere."""
 
-    def judge(self, turn: Turn, entry: Entry) -> Word:
-        """Say whether a keyed try may run that the window allows."""
+        def door(self, turn: Turn, request: Request) -> Answer | None:
+            """Return the answer of a keyed request that is not known here, where there is one at once."""
 
-    def join(self, turn: Turn, entry: Entry) -> bool:
-        """Have a try that the window forbids wait for the one of its key that ran elsewhere; False if none did."""
+        def over(self, turn: Turn, entry: Entry) -> None:
+            """Note that a try is over."""
 
-    def wait(self, by: str, id: str) -> bool:
-        """Have a try wait for the one that it repeats, if that runs elsewhere."""
 
-    def door(self, turn: Turn, request: Request) -> Answer | None:
-        """Return the answer of a keyed request that is not known here, where there is one at once."""
+class Word(Enum):
+    """What a keyed run may do."""
 
-    def over(self, turn: Turn, entry: Entry) -> None:
-        """Note that a try is over."""
+    START = "start"
+    WAIT = "wait for a word"
+    OVER = "joined to another try, or answered: there is nothing left to start"
 
 
 @dataclass(slots=True)
--- a/sagetrestle/net/routing/inputs.py
+++ b/sagetrestle/net/routing/inputs.py
@@ -9,11 +9,9 @@
 )
 
 if TYPE_CHECKING:
-    from sagetrestle.consensus.core import Raft
     from sagetrestle.handover import elder, successor
     from sagetrestle.identity.judge import Snapshot
-    from sagetrestle.peers import links
-    from sagetrestle.recovery.effects import Kind
+    from sagetrestle.net.routing.fleet import FleetEvent
 
 
 class Started(NamedTuple):
@@ -114,31 +112,6 @@
     event: elder.Event
 
 
-class StoreDone(NamedTuple):
-    """The council's store has what it was given; False: it can not be written."""
-
-    done: bool
-
-
-class FateTold(NamedTuple):
-    """A kernel told what became of a run of an owner before."""
-
-    partition: int
-    epoch: int
-    run: str
-    kind: Kind
-    result: bytes
-
-
-class SeatTaken(NamedTuple):
-    """The council's store was begun anew."""
-
-    seat: Raft
-
-
-FleetEvent = Union["links.Event", StoreDone, FateTold, SeatTaken]  # noqa: UP007
-
-
 class FromFleet(NamedTuple):
     """Something came from other members, from the council's store, or from a kernel of another's."""
 
--- a/sagetrestle/takeover/books.py
+++ b/sagetrestle/takeover/books.py
@@ -456,7 +456,8 @@
                 del copy.doubts[run]
             elif self.askable(effect):
                 by.setdefault(effect.server, []).append(run)
-        return [Fence(self.places[server], at, copy.share.epoch, tuple(runs)) for server, runs in by.items()]
+        return [Fence(self.places[server], at, copy.share.epoch, tuple(runs[first:first + ENTRIES_A_MESSAGE]))
+                for server, runs in by.items() for first in range(0, len(runs), ENTRIES_A_MESSAGE)]
 
     def askable(self, effect: Effect) -> bool:
         """Tell whether there is a kernel that could say what became of an effect in doubt."""
