--- a/sagetrestle/net/program/fleet.py
+++ b/sagetrestle/net/program/fleet.py
@@ -69,6 +69,7 @@
     clock_drift: Annotated[float, msgspec.Meta(ge=0, le=0.2)] = 0.01
     clocks_apart_ms: Annotated[int, msgspec.Meta(ge=0, le=60_000)] = 500
     moves: Annotated[int, msgspec.Meta(ge=1, le=4_096)] = 8
+    lost_after_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 5_000
     kernel_fences: bool = False
     new: bool = False
 
@@ -86,7 +87,7 @@
         """Return the terms of ownership."""
         file = self.file
         return FleetTerms(file.partitions, file.backups, file.least_backups, file.lease_ms * MS, file.clock_drift,
-                          file.moves, file.new)
+                          file.moves, file.lost_after_ms * MS, file.new)
 
     def raft(self) -> raft.Terms:
         """Return the terms of the council."""
--- a/sagetrestle/net/program/translate.py
+++ b/sagetrestle/net/program/translate.py
@@ -30,6 +30,7 @@
 from sagetrestle.net.program.upstream import GroupCommit, Upstream, UpstreamTerms
 from sagetrestle.net.routing.values import Peers, Plan
 from sagetrestle.router import Router, RouterTerms
+from sagetrestle.recovery.effects import Entry, Kind
 from sagetrestle.store.journal import Journal, JournalError
 from sagetrestle.translation.mapping import Mapping, MappingError, read_mapping
 
@@ -178,7 +179,8 @@
     def __init__(self, reactor: Any, config: TranslateConfig, logger: Any,
                  in_thread: Callable[[Callable[[], Any]], Any], at: Callable[[str], None] | None = None) -> None:
         self._config = config
-        self.journal = Journal(config.root / config.file.journal, int(config.file.journal_mb * (1 << 20)), at)
+        self.journal = Journal(config.root / config.file.journal, int(config.file.journal_mb * (1 << 20)), at,
+                               config.file.name)
         router = Router(RouterTerms(window_us=config.window_us or 30_000_000), seed=0)
         router.see(view_of(config.file))
         keeper = Keeper(router, config.file.terms(), seed=int(time.time()))
@@ -206,10 +208,14 @@
 
     def start(self) -> None:
         """Settle what the journal holds, compact it, and begin."""
-        read = self.journal.read(time.time_ns() // 1000)
-        self.upstream.recover(read.entries, read.spoilt)
+        now = time.time_ns() // 1000
+        read, why = self.journal.read(now), self.journal.doubtful()
+        if why:
+            read.entries.append(Entry(Kind.LOST, "", now))
+        self.upstream.recover(read.entries, read.spoilt, why)
         if read.entries:
             self.journal.compact(self.upstream.effects.living(time.time_ns() // 1000))
+        self.journal.remember()  # only now: what was lost is written down
         self.core.start()
 
 
--- a/sagetrestle/net/program/upstream.py
+++ b/sagetrestle/net/program/upstream.py
@@ -43,7 +43,7 @@
     def __init__(self, journal: Journal, in_thread: Callable[[Callable[[], Any]], Any]) -> None:
         self.journal, self._in_thread = journal, in_thread
         self._line: deque[tuple[list[Entry], Callable[[bool], None]]] = deque()
-        self._busy = False
+        self._busy = self._mark = False
         self._compact: Callable[[], list[Entry]] | None = None
         self.groups = self.failures = self.written = 0
 
@@ -57,9 +57,19 @@
         self._compact = living
         self._next()
 
+    def mark(self) -> None:
+        """Have the journal's mark follow it, between two groups."""
+        self._mark = True
+        self._next()
+
     def _next(self) -> None:
         if self._busy:
             return
+        if self._mark:
+            self._mark, self._busy = False, True
+            self._in_thread(self.journal.remember).addCallbacks(
+                lambda _: self._finished([], True), lambda _: self._finished([], False))
+            return
         if self._compact is not None:
             # Nothing is out now, so the table and the file say the same: a snapshot of one is one of the other.
             living, self._compact = self._compact, None
@@ -127,8 +137,13 @@
         self._describe: Describe = lambda id: (None, "", 0, False, 0.0)
         self._timer: Any = None
 
-    def recover(self, entries: Iterable[Entry], spoilt: Iterable[str]) -> None:
-        """Take up what the journal held; keys in doubt are bound to the server that may have run them."""
+    def recover(self, entries: Iterable[Entry], spoilt: Iterable[str], why: str = "") -> None:
+        """Take up what the journal held; keys in doubt are bound to the server that may have run them.
+
+        ``why`` says what is wrong with the journal as a whole, if anything is.
+        """
+        if why:
+            self._log(f"journal: {why}")
         self.effects, faults = replay(entries, self._terms.window_us)
         lost = [f"key {key!r}: its entry can not be read, it is in doubt" for key in spoilt if key]
         for fault in [*faults, *lost]:
@@ -406,6 +421,7 @@
                       (one.server, one.boot), ask_only=True)
             self._carry_out(self.keeper.begin(self._now(), job))
         self.effects.sweep(now)
+        self._journal.mark()
         if self._journal.written >= COMPACT_AFTER:
             self._journal.written = 0
             self._journal.compact(lambda: self.effects.living(self._unix_us()))
--- a/sagetrestle/ownership/planner.py
+++ b/sagetrestle/ownership/planner.py
@@ -22,7 +22,9 @@
 class Planner:
     """One plan."""
 
-    def __init__(self, known: FleetMap, alive: Set[str], leaving: Set[str], synced: Synced, terms: FleetTerms) -> None:
+    def __init__(self, known: FleetMap, alive: Set[str], leaving: Set[str], synced: Synced, terms: FleetTerms,
+                 patient: Set[int] = frozenset()) -> None:
+        self._patient = patient  # partitions without an owner, whose records may come back with a silent member
         self._map, self._alive, self._leaving, self._synced, self._terms = known, alive, leaving, synced, terms
         self._places = {one.id: one for one in known.places if one.id in alive}
         self._able = sorted(id for id in self._places if id not in leaving)
@@ -63,6 +65,8 @@
                 owner = better
         else:
             ready = [id for id in backups if id not in self._leaving] or list(backups)
+            if not ready and at in self._patient:
+                return share
             if ready:
                 owner = min(ready, key=lambda id: (self._load(id), id))
                 backups = tuple(id for id in backups if id != owner)
--- a/sagetrestle/ownership/values.py
+++ b/sagetrestle/ownership/values.py
@@ -125,4 +125,5 @@
     lease_us: int = 1_000_000
     drift: float = 0.01
     moves: int = 8  # partitions on their way to a better place at a time
+    lost_after_us: int = 5_000_000  # how long members that are silent with all there is of records are waited for
     new: bool = False  # the fleet has never run: no key can be in doubt
--- a/sagetrestle/store/journal.py
+++ b/sagetrestle/store/journal.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import secrets
 import sqlite3
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -21,8 +22,9 @@
 
 from sagetrestle.recovery.effects import Entry, Kind
 from sagetrestle.store.database import PAGE, StoreError, StoreFull, open_lasting, signed_sum, told
+from sagetrestle.store.files import replace_file
 
-FORMAT = 2  # 1 had no checksum of the key alone
+FORMAT = 3  # 1 had no checksum of the key alone, 2 no word of whose it is
 POINTS = ("begin", "written", "committed", "compact-begin", "compact-deleted", "compact-written", "compact-committed")
 
 
@@ -36,26 +38,102 @@
     spoilt: list[str]
 
 
+class Position(NamedTuple):
+    """How far a journal is: its identity, how often it was opened and compacted, and its last entry."""
+
+    identity: str
+    starts: int
+    snapshots: int
+    last: int
+
+
+class Mark:
+    """A small file beside a journal that says how far it was.
+
+    By it a journal that is missing, another one or an older copy is told apart from one that was never there. What was
+    written since the mark and is lost is not told.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._path = path.with_name(f"{path.name}.mark")
+        self._written: Position | None = None
+
+    def read(self) -> Position | None:
+        """Return what it says; None without one, or where it can not be read."""
+        try:
+            return msgspec.json.decode(self._path.read_bytes(), type=Position)
+        except (OSError, msgspec.MsgspecError):
+            return None
+
+    def write(self, at: Position) -> None:
+        """Put it in place whole, if it says something new. Raises JournalError."""
+        if at == self._written:
+            return
+        try:
+            replace_file(self._path, msgspec.json.encode(at), 0o600)
+        except OSError as error:
+            raise JournalError(f"{self._path.name}: {error}") from None
+        self._written = at
+
+
 class Journal:
     """One journal file. Not for two threads at once.
 
     ``at`` is called at each write point by its name (``POINTS``), so that a test can end the process there.
     """
 
-    def __init__(self, path: Path, most_bytes: int = 256 << 20, at: Callable[[str], None] | None = None) -> None:
+    def __init__(self, path: Path, most_bytes: int = 256 << 20, at: Callable[[str], None] | None = None,
+                 member: str = "") -> None:
         self._at = at or (lambda point: None)
-        self._db, version = open_lasting(path, most_bytes, (1, FORMAT))
+        self._db, version = open_lasting(path, most_bytes, (1, 2, FORMAT))
+        self.mark = Mark(path)
         try:
             self._db.execute("BEGIN IMMEDIATE")
             self._db.execute("CREATE TABLE IF NOT EXISTS entries(seq INTEGER PRIMARY KEY, key TEXT NOT NULL, "
                              "data BLOB NOT NULL, sum INTEGER NOT NULL, key_sum INTEGER)")
             if version == 1:
                 self._db.execute("ALTER TABLE entries ADD COLUMN key_sum INTEGER")
+            self._db.execute("CREATE TABLE IF NOT EXISTS words(name TEXT PRIMARY KEY, data TEXT NOT NULL)")
+            if version < FORMAT:
+                self._put(identity=secrets.token_hex(8), member=member, starts="0", snapshots="0")
+            if member and self._word("member") != member:
+                other = self._word("member")
+                self._db.execute("ROLLBACK")
+                self._db.close()
+                raise JournalError(f"{path}: is the journal of {other!r}, not of {member!r}")
+            self._before = self.position()
+            self._put(starts=str(self._before.starts + 1))
             self._db.execute(f"PRAGMA user_version={FORMAT}")
             self._db.execute("COMMIT")
         except sqlite3.Error as error:
             raise told(error) from None
 
+    def _word(self, name: str) -> str:
+        row = self._db.execute("SELECT data FROM words WHERE name = ?", (name,)).fetchone()
+        return row[0] if row is not None else ""
+
+    def _put(self, **words: str) -> None:
+        self._db.executemany("INSERT OR REPLACE INTO words(name, data) VALUES(?, ?)", words.items())
+
+    def position(self) -> Position:
+        """Return how far the journal is."""
+        last = self._db.execute("SELECT COALESCE(MAX(seq), 0) FROM entries").fetchone()[0]
+        return Position(self._word("identity"), int(self._word("starts") or 0), int(self._word("snapshots") or 0), last)
+
+    def remember(self) -> None:
+        """Have the mark say how far the journal is. Raises JournalError."""
+        self.mark.write(self.position())
+
+    def doubtful(self) -> str:
+        """Say why what this journal does not name may have run all the same, by the mark; "" where nothing says so."""
+        mark, here = self.mark.read(), self._before
+        if mark is None or mark == here:
+            return ""
+        if mark.identity != here.identity:
+            return "it is missing, and another is in its place"
+        older = (here.starts, here.snapshots, here.last) < (mark.starts, mark.snapshots, mark.last)
+        return "it is an older copy" if older else ""
+
     def append(self, entries: Iterable[Entry]) -> None:
         """Make a group of entries durable, all or none."""
         rows = [(one.key, _encode(one)) for one in entries]
@@ -110,6 +188,7 @@
         try:
             self._db.execute("BEGIN IMMEDIATE")
             self._db.execute("DELETE FROM entries")
+            self._put(snapshots=str(int(self._word("snapshots")) + 1))
             self._at("compact-deleted")
             self._insert(rows)
             self._at("compact-written")
--- a/sagetrestle/takeover/node.py
+++ b/sagetrestle/takeover/node.py
@@ -69,6 +69,7 @@
     leaving: set[str] = field(default_factory=set)
     synced: set[tuple[int, int, str]] = field(default_factory=set)
     plan_us: int = 0
+    orphans: dict[int, int] = field(default_factory=dict)  # partitions whose members are all silent, and since when
     planned: tuple[object, ...] = ()  # what the last plan was made of, if it changed nothing
 
 
@@ -372,10 +373,11 @@
             lead.grantor.forget(known)
             lead.leaving &= known
             alive = {id for id in known if lead.grantor.may_hold(id, now)}
-            of = (self.agreed.version, alive, set(lead.leaving), frozenset(lead.synced))
+            patient = self._silent(alive)
+            of = (self.agreed.version, alive, set(lead.leaving), frozenset(lead.synced), patient)
             if of == lead.planned:
                 return
-            plan = Planner(self.agreed, alive, lead.leaving, frozenset(lead.synced), self.terms)
+            plan = Planner(self.agreed, alive, lead.leaving, frozenset(lead.synced), self.terms, patient)
             changes, gone = plan.changes(), plan.gone()
             lead.planned = () if changes or gone else of
             lead.synced = {one for one in lead.synced if one[0] < len(self.agreed.shares)
@@ -383,6 +385,20 @@
             if changes or gone:
                 self._propose(Arranged(changes, gone))
 
+    def _silent(self, alive: set[str]) -> frozenset[int]:
+        """Return partitions whose records are with silent members alone, as long as those are waited for.
+
+        A member that is stopped or cut off has them still; one whose name has started anew has not.
+        """
+        newest = {name_of(one.id): one.id for one in self.agreed.places}
+        waiting, now = {}, self._now
+        for at, share in enumerate(self.agreed.shares):
+            held = (share.owner, *share.backups)
+            if share.owner and not alive & set(held) and any(newest.get(name_of(id)) == id for id in held):
+                waiting[at] = self.lead.orphans.get(at, now)
+        self.lead.orphans = waiting
+        return frozenset(at for at, since in waiting.items() if now - since < self.terms.lost_after_us)
+
     def _propose(self, command: Command) -> None:
         self._raft(raft.Propose(msgspec.msgpack.encode(command)))
 
--- a/tests/models/test_translation_model.py
+++ b/tests/models/test_translation_model.py
@@ -62,6 +62,9 @@
     def compact(self, living) -> None:
         self.durable = list(living)
 
+    def remember(self) -> None:
+        """Have no mark: this journal is never lost."""
+
 
 class TranslationMachine(RuleBasedStateMachine):
     """Two translators, three servers, three keys."""
--- a/tests/net/test_translate.py
+++ b/tests/net/test_translate.py
@@ -256,10 +256,39 @@
                 self.assertIn(said, "".join(self.lines))
         self.assertEqual({1}, set(self.effects().values()))
 
+    async def test_a_journal_that_is_gone_or_an_older_copy_frees_no_key_and_anothers_is_refused(self):
+        for number, harm in enumerate(("gone", "older")):
+            with self.subTest(harm):
+                journal, key = f"m{number}.db", f"M{number}"
+                path = self.home / journal
+                await self.begin(journal=journal)
+                self.process.kill()
+                await self.process.wait()
+                files = [Path(f"{path}{end}") for end in ("", "-wal")]
+                copies = {file: file.read_bytes() for file in files if file.exists()}
+                await self.begin(journal=journal)
+                await self.charge(key)
+                self.process.kill()
+                await self.process.wait()
+                for end in ("", "-wal", "-shm"):
+                    Path(f"{path}{end}").unlink(missing_ok=True)
+                for file, data in copies.items() if harm == "older" else ():
+                    file.write_bytes(data)
+                self.servers.reverse()
+                for _ in range(2):  # the second start knows it from its own journal
+                    await self.begin(journal=journal)
+                    self.assertEqual(502, status_of(await self.ask("paid-check", key=key)))
+                    self.process.kill()
+                    await self.process.wait()
+        self.assertEqual([1, 1], list(self.effects().values()))
+        await self.begin(journal="m0.db", more='name = "other"', waits=False)
+        self.assertEqual(2, await asyncio.wait_for(self.process.wait(), PATIENCE_S))
+
     async def test_a_full_journal_refuses_charges_and_safe_work_goes_on(self):
         self.process.kill()
         await self.process.wait()
-        (self.home / "journal.db").unlink()
+        for end in ("", ".mark"):
+            (self.home / f"journal.db{end}").unlink()
         await self.begin(more="journal_mb = 0.2\nopen = 200")
         statuses = []
         while 503 not in statuses and len(statuses) < 4_000:
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -136,6 +136,17 @@
             kept = bool(alive & {old.owner, *old.backups})
             self.assertEqual(share.origin is Origin.LOST, not kept)
 
+    def test_records_that_silent_members_have_are_waited_for_as_long_as_is_said(self):
+        known = self.start(6)
+        one = known.shares[0]
+        alive = {place.id for place in known.places} - {one.owner, *one.backups}
+        orphans = {at for at, share in enumerate(known.shares) if not alive & {share.owner, *share.backups}}
+        changed = {at for at, _, _ in Planner(known, alive, set(), frozenset(), TERMS, orphans).changes()}
+        self.assertFalse(orphans & changed)
+        back = alive | {one.backups[0]}
+        changes = {at: share for at, _, share in Planner(known, back, set(), frozenset(), TERMS, orphans).changes()}
+        self.assertEqual((one.backups[0], Origin.KEPT), (changes[0].owner, changes[0].origin))
+
     def test_a_joining_member_is_no_owner_before_it_has_all_records(self):
         known = self.start(3)
         known = apply(known, 500, Joined(Place("n9@1", "z0")))
--- a/tests/store/test_journal.py
+++ b/tests/store/test_journal.py
@@ -143,6 +143,30 @@
         journal.append([outcome(1)])
         self.assertEqual(outcome(1), journal.read(5).entries[-1])
 
+    def test_the_mark_tells_a_new_journal_from_one_that_is_missing_another_or_older(self):
+        journal = self.open(member="t1")
+        self.assertEqual("", journal.doubtful())
+        journal.append([intent(1)])
+        journal.close()
+        copy = self.path.read_bytes()
+        journal = self.open(member="t1")
+        self.assertEqual("", journal.doubtful())
+        journal.append([intent(2)])
+        journal.remember()
+        journal.close()
+        journal = self.open(member="t1")
+        self.assertEqual("", journal.doubtful())
+        journal.remember()
+        journal.close()
+        with self.assertRaisesRegex(JournalError, "of 't1', not of 't2'"):
+            self.open(member="t2")
+        self.path.write_bytes(copy)
+        journal = self.open(member="t1")
+        self.assertEqual("it is an older copy", journal.doubtful())
+        journal.close()
+        self.path.unlink()
+        self.assertEqual("it is missing, and another is in its place", self.open(member="t1").doubtful())
+
     def test_a_torn_tail_loses_no_group_that_was_committed_before(self):
         journal = self.open()
         journal.append([intent(1)])
