Believe a council that was formed anew over the one before, and lease only under its map

Cause, found by reading docs/fleet.md's 'all stores are gone' against the code: maps were compared by their place in the council's log alone (books.py, see; node.py, Granted), so members that ran on while all council stores were lost kept the old map, with leases of the new council: two owners, and a second run once the new owner's window of doubt was over. Change: a map names its council's first epoch, which grows with the time of day, and is compared by that first. Measured: the new tests fail without it (2 of 2 mutants caught); tests of takeover, ownership, peers, the fleet's command line green.

--- a/sagetrestle/net/program/fleet.py
+++ b/sagetrestle/net/program/fleet.py
@@ -272,7 +272,7 @@
                     self._links.write(connection, frame)
                 case link.Close(connection):
                     self._links.end(connection)
-                case link.Heard(_, MapTold(known)) if known.version > self.known.version:
+                case link.Heard(_, MapTold(known)) if known.order > self.known.order:
                     self.known = known
                     self._on_map(known)
 
--- a/sagetrestle/ownership/values.py
+++ b/sagetrestle/ownership/values.py
@@ -56,11 +56,17 @@
 
 
 class FleetMap(msgspec.Struct, frozen=True, array_like=True):
-    """All of it, as of an entry of the council's log."""
+    """All of it, as of an entry of the council's log; ``born`` is the first epoch of that council."""
 
     version: int = 0
     shares: tuple[Share, ...] = ()
     places: tuple[Place, ...] = ()
+    born: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what grows with each change, also where a council that was lost whole was formed anew."""
+        return self.born, self.version
 
     def place(self, id: str) -> Place | None:
         """Return a member."""
@@ -98,10 +104,10 @@
 
 def apply(known: FleetMap, index: int, command: Command) -> FleetMap:
     """Return the map after an entry of the log; what names an epoch that is not the present one changes nothing."""
-    shares, places = known.shares, known.places
+    shares, places, born = known.shares, known.places, known.born
     match command:
         case Founded(partitions, epoch, origin) if not shares:
-            shares = tuple(Share(epoch, origin=origin) for _ in range(partitions))
+            shares, born = tuple(Share(epoch, origin=origin) for _ in range(partitions)), epoch
         case Joined(place):
             places = (*(one for one in places if one.id != place.id), place)
         case Arranged(changes, gone):
@@ -112,7 +118,7 @@
             shares = tuple(changed)
             held = {id for one in shares for id in (one.owner, *one.copies)}
             places = tuple(one for one in places if one.id not in gone or one.id in held)
-    return FleetMap(index, shares, places)
+    return FleetMap(index, shares, places, born)
 
 
 @dataclass(frozen=True)
--- a/sagetrestle/store/keys.py
+++ b/sagetrestle/store/keys.py
@@ -118,9 +118,11 @@
         """Make a key whose id is the start of its thumbprint."""
         if algorithm not in NEW:
             raise StoreError(f"algorithm {algorithm!r}: must be one of {', '.join(NEW)}")
-        private = NEW[algorithm]()
-        public = private.public_key()
-        mark = thumbprint(jwk_of(algorithm, public))
+        mark = "-"
+        while mark.startswith("-"):  # one in 64; a command line would take such an id for an option
+            private = NEW[algorithm]()
+            public = private.public_key()
+            mark = thumbprint(jwk_of(algorithm, public))
         return RingKey(mark[:KID_LENGTH], algorithm, public, mark, not_before_us), private
 
     def _write(self, event: RingEvent, now_us: int, private: Any = None, first: bool = False) -> None:
--- a/sagetrestle/takeover/books.py
+++ b/sagetrestle/takeover/books.py
@@ -218,7 +218,7 @@
 
     def see(self, now: int, unix: int, known: FleetMap) -> list[Decision]:
         """Take a newer map."""
-        if known.version <= self.map.version:
+        if known.order <= self.map.order:
             return []
         self.map = known
         self.places.update((one.id, one) for one in known.places)
--- a/sagetrestle/takeover/messages.py
+++ b/sagetrestle/takeover/messages.py
@@ -25,15 +25,15 @@
 
     number: int
     place: Place
-    version: int
+    order: tuple[int, int]
     leaving: bool = False
 
 
 class Granted(msgspec.Struct, frozen=True, array_like=True, tag="granted"):
-    """The lease of an asking, good only for one who knows the map of this version; ``map`` where it did not."""
+    """The lease of an asking, good only for one who knows the map of this order; ``map`` where it did not."""
 
     number: int
-    version: int
+    order: tuple[int, int]
     map: FleetMap | None = None
 
 
--- a/sagetrestle/takeover/node.py
+++ b/sagetrestle/takeover/node.py
@@ -121,7 +121,7 @@
     def seated(self, now: int, unix: int, seat: raft.Raft) -> list[Decision]:
         """Take a new seat, on an empty store."""
         self._at(now, unix)
-        self.seat, self._writing = seat, 0
+        self.seat, self._writing, self.agreed = seat, 0, FleetMap()
         self._queue.clear()
         self._raft(raft.Started())
         return self._done()
@@ -232,10 +232,10 @@
                     self._raft(raft.Received(id, said))
             case messages.Renew():
                 self._renewed(sender, message)
-            case messages.Granted(number, version, known):
+            case messages.Granted(number, order, known):
                 if known is not None:
                     self._see(known)
-                if books.map.version >= version:
+                if books.map.order >= order:
                     self.holder.granted(number)
                     self.leader, self._granted_us = name_of(sender), now
             case messages.Elsewhere(leader):
@@ -269,7 +269,7 @@
 
     def _see(self, known: FleetMap) -> None:
         """Take a newer map: records follow it, whoever watches is told."""
-        if known.version <= self.books.map.version:
+        if known.order <= self.books.map.order:
             return
         for at, share in enumerate(known.shares):
             if not self.epochs[at] or self.epochs[at][-1][1] != share.epoch:
@@ -287,7 +287,7 @@
         if now - self._granted_us > self.terms.lease_us // 2:  # the one asked may lead no more
             self.leader = self.council[number % len(self.council)]
             self.holder.due_us = now + int(self.terms.lease_us * 0.1)
-        self._say(self.leader, messages.Renew(number, self.place, self.books.map.version, self.leaving))
+        self._say(self.leader, messages.Renew(number, self.place, self.books.map.order, self.leaving))
 
     def _renewed(self, sender: str, ask: messages.Renew) -> None:
         if ask.place.id != sender:
@@ -304,8 +304,8 @@
             return  # its work may be given away by what is not committed yet: only a map that says so may be granted on
         (self.lead.leaving.add if ask.leaving else self.lead.leaving.discard)(sender)
         self.lead.grantor.grant(sender, self._now)
-        known = self.agreed if ask.version < self.agreed.version else None
-        self._say(sender, messages.Granted(ask.number, self.agreed.version, known))
+        known = self.agreed if ask.order != self.agreed.order else None
+        self._say(sender, messages.Granted(ask.number, self.agreed.order, known))
 
     # The council
 
@@ -345,7 +345,7 @@
                 self._out.append(Forget(why))
 
     def _agree(self, known: FleetMap) -> None:
-        changed = known.version > self.agreed.version
+        changed = known.order > self.agreed.order
         self.agreed = known
         self._see(known)
         if changed and self.seat is not None and self.seat.role is raft.Role.LEADER:
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from click.testing import CliRunner
 
@@ -35,6 +36,10 @@
 class KeysTest(CliCase):
     """A store's whole life."""
 
+    def test_no_key_gets_an_id_that_a_command_line_takes_for_an_option(self):
+        with mock.patch("sagetrestle.store.keys.thumbprint", side_effect=["-" + "Z" * 42, "Z" * 43]):
+            self.assertEqual("Z", self.run_ok("keys", "generate", *self.store)[0])
+
     def test_a_key_is_made_rotated_retired_and_revoked(self):
         first = self.run_ok("keys", "generate", *self.store)
         self.fails("no other key is active", "keys", "retire", first, *self.store)
--- a/tests/takeover/test_books.py
+++ b/tests/takeover/test_books.py
@@ -284,7 +284,7 @@
 
     def renew(self, id=B, number=1):
         self.said.clear()
-        self.node._hear(id, messages.Renew(number, next(one for one in PLACES if one.id == id), 0))
+        self.node._hear(id, messages.Renew(number, next(one for one in PLACES if one.id == id), (0, 0)))
         return [message for to, message in self.said if isinstance(message, messages.Granted)]
 
     def test_a_lone_council_gives_itself_all_and_a_member_that_asks_joins_and_then_gets_its_lease(self):
@@ -293,7 +293,7 @@
         self.go(S)
         self.assertIsNotNone(self.node.agreed.place(B))
         granted = self.renew()
-        self.assertEqual(self.node.agreed.version, granted[0].version)
+        self.assertEqual(self.node.agreed.order, granted[0].order)
         self.assertEqual(self.node.agreed, granted[0].map)
 
     def test_a_lease_that_ended_is_not_renewed_while_what_gives_its_work_away_is_not_committed(self):
@@ -311,15 +311,27 @@
         member = node.Node(PLACES[1], ("a",), TERMS, Links("f", B, ("a", "b"), 1, 0), WINDOW)
         member.passed(1_000, 0)
         number = member.holder.number
-        member._hear(A, messages.Granted(number, 5))
+        member._hear(A, messages.Granted(number, (0, 5)))
         self.assertFalse(member.holder.holds(2_000))
         member.passed(S, 0)
         known = FleetMap(5, (Share(3, B, (C,), (), Origin.NEW),), PLACES)
-        member._hear(A, messages.Granted(member.holder.number, 5, known))
+        member._hear(A, messages.Granted(member.holder.number, (0, 5), known))
         self.assertTrue(member.holder.holds(S + 2_000))
         self.assertTrue(member.owns(0, S + 2_000))
         self.assertFalse(member.owns(0, 3 * S))
 
+    def test_a_council_that_was_formed_anew_is_believed_over_the_one_before_and_its_lease_only_with_its_map(self):
+        member = node.Node(PLACES[1], ("a",), TERMS, Links("f", B, ("a", "b"), 1, 0), WINDOW)
+        member.passed(1_000, 0)
+        member._see(FleetMap(57, (Share(3, B, (C,), (), Origin.NEW),), PLACES, 3))
+        anew = FleetMap(4, (Share(1 << 20, C, (A,), (), Origin.LOST),), PLACES, 1 << 20)
+        member._hear(A, messages.Granted(member.holder.number, anew.order))
+        self.assertFalse(member.owns(0, 2_000))
+        member._see(anew)
+        self.assertEqual(C, member.books.share_of("K")[1].owner)
+        member._see(FleetMap(58, (Share(4, B, (C,), (), Origin.NEW),), PLACES, 3))
+        self.assertEqual(C, member.books.share_of("K")[1].owner)
+
     def test_a_member_whose_store_can_not_be_written_says_so_and_leads_no_more(self):
         self.writes = False
         self.node._propose(Joined(PLACES[2]))
