Count a mutant as caught by the exit code, not by the first log line

Cause: a captured log line that begins with ERROR was taken for a failed test without a name, so the mutant of the token counted as not caught (benchmarks/mutants.py, failed); its tests fail by hand.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -119,8 +119,11 @@
 def failed(root: Path, tests: tuple[str, ...]) -> str:
     """Return the first test that fails there, or nothing."""
     got = subprocess.run([sys.executable, "-B", "-m", "pytest", "-x", *tests], cwd=root, capture_output=True, text=True)
-    lines = [line for line in got.stdout.splitlines() if line.startswith(("FAILED", "SUBFAILED", "ERROR"))]
-    return lines[0].partition("::")[2] if lines else "" if got.returncode == 0 else f"exit {got.returncode}"
+    if got.returncode == 0:
+        return ""
+    lines = [line for line in got.stdout.splitlines()
+             if line.startswith(("FAILED", "SUBFAILED", "ERROR")) and "::" in line]
+    return lines[0].partition("::")[2] if lines else f"exit {got.returncode}"
 
 
 @click.command()
