--- a/sagetrestle/lab/history.py
+++ b/sagetrestle/lab/history.py
@@ -34,6 +34,7 @@
     at: float
     where: str
     token: tuple[int, int, str] | None = None  # partition, epoch, owner
+    result: bytes = b""  # what it made; empty: a kernel's, which names the run
 
 
 class Held(NamedTuple):
@@ -99,7 +100,7 @@
                 found.never_served.append(key)
             if len(results) > 1:
                 found.differing.append(key)
-            made = {f"result of {one.run}".encode() for one in runs[key]}
+            made = {one.result or f"result of {one.run}".encode() for one in runs[key]}
             first = min((one.at for one in runs[key]), default=float("inf"))
             if results - made or any(one.told_at < first for one in many if one.how == "served"):
                 found.invented.append(key)
--- a/sagetrestle/lab/new_server.py
+++ b/sagetrestle/lab/new_server.py
@@ -6,10 +6,11 @@
 import contextlib
 import json
 import random
+import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 import h2.config
 import h2.connection
@@ -36,11 +37,26 @@
     answer: Callable[[dict[str, Any]], Any] | None = None  # changes the answer
 
 
+class KeyedRun(NamedTuple):
+    """An effect: whose it was, when it began (monotonic, s), its answer, and the fencing token that came with it."""
+
+    applicant: str
+    at: float
+    answer: dict[str, Any]
+    token: tuple[int, int, str] | None
+
+
 @dataclass
 class NewServer:
-    """One server on a loopback port. ``ran`` counts effects and reads by their key or applicant."""
+    """One server on a loopback port. ``ran`` counts effects and reads by their key or applicant.
+
+    One that ``checks_tokens`` refuses what comes under an epoch older than the newest it was told of, and says so.
+    """
 
     work_s: float = 0.005
+    checks_tokens: bool = True
+    runs: list[KeyedRun] = field(default_factory=list)
+    refused_epochs: int = 0
     faults: ServerFaults = field(default_factory=ServerFaults)
     ran: Counter[str] = field(default_factory=Counter)
     requests: int = 0
@@ -49,6 +65,7 @@
     _rng: random.Random = field(default_factory=lambda: random.Random(1))
     _done: dict[str, Any] = field(default_factory=dict)
     _running: dict[str, asyncio.Future[Any]] = field(default_factory=dict)
+    _epochs: dict[str, int] = field(default_factory=dict)  # the newest known, by fleet and partition
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -104,7 +121,7 @@
         if self.faults.silent:
             return
         if headers[":path"].startswith("/v2/effects/"):
-            self._answer(conn, writer, id, *self._effect(headers[":path"].rpartition("/")[2]))
+            self._answer(conn, writer, id, *self._effect(headers[":path"].rpartition("/")[2], headers))
             return
         self.requests += 1
         self.last_headers = headers
@@ -115,6 +132,10 @@
         if self._strikes("refuse"):
             self._answer(conn, writer, id, 503, {"type": NEVER_RAN, "title": "busy"}, ("retry-after", "0"))
             return
+        if self._too_old(headers):
+            self.refused_epochs += 1
+            self._answer(conn, writer, id, 409, {"type": NEVER_RAN, "title": "of an epoch that is over"})
+            return
         value = await self._work(headers, body)
         if self._strikes("fail") or self._rng.random() < self.faults.fail_share:
             self._answer(conn, writer, id, 500, {"type": "about:blank", "title": "failed"})
@@ -137,9 +158,18 @@
             setattr(self.faults, name, left - 1)
         return left > 0
 
+    def _too_old(self, headers: dict[str, str]) -> bool:
+        """Tell whether a key that is not known here comes under an epoch that is over; a newer one is noted."""
+        token, key = headers.get("fencing-token"), headers.get("idempotency-key", "").strip('"')
+        if not token or not self.checks_tokens:
+            return False
+        whose, _, epoch = token.rpartition("/")
+        self._epochs[whose] = max(int(epoch), self._epochs.get(whose, 0))
+        return int(epoch) < self._epochs[whose] and key not in self._done and key not in self._running
+
     async def _work(self, headers: dict[str, str], body: bytes) -> Any:
         """Run a request, or wait for the run of its key, or return what that came to."""
-        request = json.loads(body)["request"]
+        request, began = json.loads(body)["request"], time.monotonic()
         key = headers.get("idempotency-key", "").strip('"')
         if key in self._done:
             return self._done[key]
@@ -158,18 +188,24 @@
         value = self.faults.answer(value) if self.faults.answer is not None else value
         self.ran[key or f"read {request.get('applicant', {}).get('id', '')}"] += 1
         if key:
+            token = headers.get("fencing-token", "").split("/")
+            told = (int(token[1]), int(token[2]), token[0]) if len(token) == 3 else None
+            self.runs.append(KeyedRun(str(request.get("applicant", {}).get("id", "")), began, value, told))
             self._done[key] = value
             del self._running[key]
             done.set_result(value)
         return value
 
-    def _effect(self, key: str) -> tuple[int, dict[str, Any]]:
+    def _effect(self, key: str, headers: dict[str, str]) -> tuple[int, dict[str, Any]]:
         self.questions += 1
+        self._too_old(headers)
         if key in self._done:
             return 200, {"state": "done", "answer": self._done[key]}
         if key in self._running:
             return 200, {"state": "running"}
-        return 404, {"type": NEVER_RAN, "title": "no such effect"}
+        told: dict[str, Any] = {"type": NEVER_RAN, "title": "no such effect"}
+        whose = headers.get("fencing-token", "").rpartition("/")[0]
+        return 404, told | ({"fenced": self._epochs[whose]} if whose in self._epochs else {})
 
     def _answer(self, conn: Any, writer: asyncio.StreamWriter, id: int, status: int, value: Any,
                 *more: tuple[str, str]) -> None:
