Wait for every owner before where a partition is given on before a handover is over

Ruled out: clock drift (both within the bound), a grant under an older map. Lines at fault: Planner._wanted set before to the last owner alone, and dropped it where the same owner got another epoch that it had not heard of.

Change: the leader knows whose owner before may still hold a lease (all of them, for a lease after it began to lead); such a partition moves only if its owner is lost, and then its next owner waits out a whole lease (SEVERAL).

--- a/sagetrestle/ownership/planner.py
+++ b/sagetrestle/ownership/planner.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from sagetrestle.ownership.values import FleetMap, FleetTerms, Origin, Place, Share
+from sagetrestle.ownership.values import SEVERAL, FleetMap, FleetTerms, Origin, Place, Share
 
 Synced = frozenset[tuple[int, int, str]]  # partition, epoch, member that has all records
 
@@ -23,8 +23,9 @@
     """One plan."""
 
     def __init__(self, known: FleetMap, alive: Set[str], leaving: Set[str], synced: Synced, terms: FleetTerms,
-                 patient: Set[int] = frozenset()) -> None:
+                 patient: Set[int] = frozenset(), unclear: Set[int] = frozenset()) -> None:
         self._patient = patient  # partitions without an owner, whose records may come back with a silent member
+        self._unclear = unclear  # partitions of whose owner before the lease may still last
         self._map, self._alive, self._leaving, self._synced, self._terms = known, alive, leaving, synced, terms
         self._places = {one.id: one for one in known.places if one.id in alive}
         self._able = sorted(id for id in self._places if id not in leaving)
@@ -58,7 +59,8 @@
         before, origin, owner = "", Origin.KEPT, share.owner
         if owner in self._alive:
             origin = share.origin
-            better = self._better_owner(owner, [id for id in backups if id not in self._leaving])
+            waits = bool(share.before) and at in self._unclear  # it would have to be waited for twice
+            better = None if waits else self._better_owner(owner, [id for id in backups if id not in self._leaving])
             if better is not None:
                 before, origin = owner, Origin.KEPT
                 backups = tuple(id for id in backups if id != better) + (owner,)
@@ -76,6 +78,9 @@
                     self._able, key=lambda id: (self._load(id), id))
                 joining = tuple(id for id in joining if id != owner)
             self._owned[owner] += 1
+        if share.before and at in self._unclear:
+            # Its owner may not have heard that it is, and the one before not that it is no more.
+            before = share.before if owner == share.owner else SEVERAL
         backups = self._kept(owner, backups)
         joining = self._filled(owner, backups, joining)
         return Share(share.epoch, owner, backups, joining, origin, before)
--- a/sagetrestle/ownership/values.py
+++ b/sagetrestle/ownership/values.py
@@ -39,8 +39,11 @@
     kernel: str = ""
 
 
+SEVERAL = "*"  # owners before whose leases may last: nobody can speak for all of them
+
+
 class Share(msgspec.Struct, frozen=True, array_like=True):
-    """One partition in one epoch. ``before`` is an owner before whose lease may still last."""
+    """One partition in one epoch. ``before`` is an owner before whose lease may still last, or ``SEVERAL``."""
 
     epoch: int
     owner: str = ""
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -2,13 +2,14 @@
 
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as some
 
 from sagetrestle.ownership.lease import Grantor, Holder
 from sagetrestle.ownership.planner import Planner
 from sagetrestle.ownership.values import (
-    Arranged, FleetMap, FleetTerms, Founded, Joined, Origin, Place, Share, apply, name_of, partition_of,
+    SEVERAL, Arranged, FleetMap, FleetTerms, Founded, Joined, Origin, Place, Share, apply, name_of, partition_of,
 )
 
 S = 1_000_000
@@ -147,6 +148,17 @@
         changes = {at: share for at, _, share in Planner(known, back, set(), frozenset(), TERMS, orphans).changes()}
         self.assertEqual((one.backups[0], Origin.KEPT), (changes[0].owner, changes[0].origin))
 
+    def test_a_second_handover_before_the_first_is_over_waits_for_all_owners_before(self):
+        known = self.start(5)
+        alive, one = {place.id for place in known.places}, known.shares[0]
+        waiting = msgspec.structs.replace(one, before=one.backups[0])
+        known = msgspec.structs.replace(known, shares=(waiting, *known.shares[1:]))
+        for unclear, owner_dies, before in (({0}, True, SEVERAL), (set(), True, ""), ({0}, False, one.backups[0])):
+            gone = {one.owner} if owner_dies else {one.backups[1]}
+            changes = {at: share for at, _, share in Planner(
+                known, alive - gone, set(), frozenset(), TERMS, unclear=unclear).changes()}
+            self.assertEqual(before, changes[0].before)
+
     def test_a_joining_member_is_no_owner_before_it_has_all_records(self):
         known = self.start(3)
         known = apply(known, 500, Joined(Place("n9@1", "z0")))
