Translators share keys as a fleet: records name the server, tokens go with the requests

Now deploy/fleet.toml beside translate.toml makes them members. An intent names the server (name, address, start) before the request is sent; a new owner asks that server, takes its answer, or, where it never came there, sends it to the same server and no other, unless the server checks fencing tokens and says so. A run whose end its owner does not know stays in doubt and is asked after. Own ends that no owner in between was told are taken when a partition comes back.

--- a/sagetrestle/attempts/keeper.py
+++ b/sagetrestle/attempts/keeper.py
@@ -222,13 +222,16 @@
         name = route.member.instance.name
         held.tried += (name,)
         held.member = route.member
-        held.attempts[decision.number] = (self.router.began(route, job.key, now_us), now_us)
+        key = job.key if job.member is None else None  # else the fleet's record binds it, not this router
+        held.attempts[decision.number] = (self.router.began(route, key, now_us), now_us)
         self.breaker.began(name, now_us)
         decided.append(Send(job, decision.number, route.member, decision.timeout_us))
         return []
 
     def _choose(self, now_us: int, job: Job, tried: tuple[str, ...]) -> Union[Route, NoRoute]:
         """Ask the router, passing over members that the breaker leaves out, unless it leaves out all."""
+        if job.member is not None:
+            return Route(job.member, bound=True)
         if job.key is not None and not self.terms.charges_move:
             return self.router.choose(Wanted(job.key, fixed=True), now_us)
         out = tuple(one.instance.name for one in self.router.view.members.values()
@@ -244,7 +247,9 @@
              decided: list[KeeperDecision]) -> list[one_request.RequestDecision]:
         sent_to = (held.member.instance.name, held.member.instance.boot) if held.member is not None \
             else held.machine.job.in_doubt
-        member = self.router.view.members.get(sent_to[0]) if sent_to is not None else None
+        member = held.machine.job.member  # it may be in no list here
+        if sent_to is not None and (member is None or member.instance.name != sent_to[0]):
+            member = self.router.view.members.get(sent_to[0])
         if sent_to is None or member is None or member.instance.boot != sent_to[1]:
             # Nobody else can tell: it stays in doubt, and is asked again while there is time.
             return held.machine.step(now_us, one_request.Told(number, None))
--- a/sagetrestle/attempts/values.py
+++ b/sagetrestle/attempts/values.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from sagetrestle.membership.values import Member
 from sagetrestle.router import End
 
 
@@ -68,6 +69,7 @@
     retry: bool = False  # the caller itself marked it as a further try
     in_doubt: tuple[str, int] | None = None  # the server and boot that may have run it before this process began
     ask_only: bool = False  # only ask after it: whatever the word, nothing is sent
+    member: Member | None = None  # the one server that it may be sent to, as the fleet's record of it says
 
 
 class Result(NamedTuple):
--- a/sagetrestle/lab/faults.py
+++ b/sagetrestle/lab/faults.py
@@ -41,7 +41,9 @@
     there: Way = field(default_factory=Way)
     back: Way = field(default_factory=Way)
     passed: int = 0  # bytes, both ways
+    held: int = 0  # pieces that came while their way was cut
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _stuck: list[list[bool]] = field(default_factory=list)  # a flag for each connection
 
     async def start(self) -> Link:
         """Listen; the port is the kernel's choice."""
@@ -52,6 +54,13 @@
     def heal(self) -> None:
         """Have nothing go wrong any more."""
         self.there, self.back = Way(), Way()
+        for one in self._stuck:
+            one[0] = False
+
+    def stick(self) -> None:
+        """Hold what comes there on connections that stand; those that are made from now on are sound."""
+        for one in self._stuck:
+            one[0] = True
 
     def reset(self) -> None:
         """Cut off all connections, as a broken path does."""
@@ -70,22 +79,26 @@
             writer.transport.abort()
             return
         self._writers |= {writer, other}
-        ways = [asyncio.ensure_future(self._relay(reader, other, "there")),
-                asyncio.ensure_future(self._relay(other_reader, writer, "back"))]
+        stuck = [False]
+        self._stuck.append(stuck)
+        ways = [asyncio.ensure_future(self._relay(reader, other, "there", stuck)),
+                asyncio.ensure_future(self._relay(other_reader, writer, "back", [False]))]
         try:
             await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
         finally:
             for one in ways:
                 one.cancel()
+            self._stuck = [one for one in self._stuck if one is not stuck]
             for one in (writer, other):
                 self._writers.discard(one)
                 one.close()
 
-    async def _relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: str) -> None:
+    async def _relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: str,
+                     stuck: list[bool]) -> None:
         """Read, and pass on each piece when its time has come, in order."""
         line: asyncio.Queue[tuple[float, bytes] | None] = asyncio.Queue(1_000)
         loop = asyncio.get_running_loop()
-        passing = asyncio.ensure_future(self._pass(line, writer, way))
+        passing = asyncio.ensure_future(self._pass(line, writer, way, stuck))
         held = b""
         try:
             with contextlib.suppress(OSError):
@@ -104,14 +117,15 @@
             passing.cancel()
 
     async def _pass(self, line: asyncio.Queue[tuple[float, bytes] | None], writer: asyncio.StreamWriter,
-                    way: str) -> None:
+                    way: str, stuck: list[bool]) -> None:
         loop = asyncio.get_running_loop()
         sent = 0
         with contextlib.suppress(OSError):
             while (item := await line.get()) is not None:
                 due, piece = item
                 await asyncio.sleep(max(0.0, due - loop.time()))
-                while (now := getattr(self, way)).cut:
+                self.held += getattr(self, way).cut or stuck[0]
+                while (now := getattr(self, way)).cut or stuck[0]:
                     await asyncio.sleep(0.005)
                 if now.reset_after is not None and sent + len(piece) > now.reset_after:
                     writer.write(piece[:now.reset_after - sent])
--- a/sagetrestle/lab/translators.py
+++ b/sagetrestle/lab/translators.py
@@ -85,8 +85,7 @@
 class TranslatorRig(Rig):
     """Translators ``t0``, ``t1``, ..., new servers ``s0``, ``s1``, ..., and callers.
 
-    ``lists`` has each translator's servers, all where it is not named. Links between translators and servers may be cut
-    as those between members.
+    ``lists`` has each translator's servers, all where it is not named. ``wires`` has the one link to each server.
     """
 
     def __init__(self, folder: Path, size: int = 2, servers: int = 2, lists: Mapping[str, Sequence[str]] | None = None,
@@ -107,8 +106,7 @@
             server.faults.answer = lambda value, name=name, count=count: {  # type: ignore[misc]
                 **value, "notes": [f"run {next(count)} at {name}"]}
             await server.start()
-            for member in self.names:
-                (await self.wires.between(member, name)).target = server.port
+            (await self.wires.between("all", name)).target = server.port  # one address, as records name it
         if self._fleet is not None:
             for start in [*self.names, *(f"f{at}" for at in range(self._fronts))]:
                 for end in self.names:
@@ -149,7 +147,7 @@
                      f"limit_ms = {int(one.limit_s * 1000)}\n")
             text += f'effect = "keyed"\nworth = 4.0\nwindow_ms = {self.place.window_us // 1000}\n' if one.charge else ""
         for server in self._lists.get(name, self.servers):
-            port = self.wires.all[(name, server)].port
+            port = self.wires.all[("all", server)].port
             text += f'[[servers]]\nname = "{server}"\naddress = "{HERE}:{port}"\nboot = 1\n'
         return text
 
@@ -163,7 +161,8 @@
                 one.watch.stop()
         for name in self.scorers:
             self.go_on(name)
-        await asyncio.gather(*(one.stop(signal.SIGKILL) for one in self.scorers.values() if one.process.returncode is None))
+        await asyncio.gather(*(one.stop(signal.SIGKILL) for one in self.scorers.values()
+                               if one.process.returncode is None))
         for server in self.servers.values():
             server.close()
         self.links.close()
--- a/sagetrestle/net/program/fleet.py
+++ b/sagetrestle/net/program/fleet.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from sagetrestle.net.program.config import Config
+    from sagetrestle.net.program.upstream import Upstream
 
 MS = 1_000
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,63}$")]
@@ -138,14 +139,17 @@
 
     def __init__(self, reactor: Any, fleet: FleetConfig, config: Config, post: Callable[[Input], None],
                  log: Callable[[str], None], now: Callable[[], int],
-                 in_thread: Callable[[Callable[[], Any]], Any]) -> None:
+                 in_thread: Callable[[Callable[[], Any]], Any], upstream: Upstream | None = None) -> None:
+        self._upstream = upstream  # new servers, where runs are sent on
+        if upstream is not None:
+            upstream.fleet = fleet.file.fleet
         self._config, self._post, self._log, self._now, self._in_thread = fleet, post, log, now, in_thread
         file, self._council = fleet.file, tuple(sorted(fleet.file.council))
         self._name, self._seed = config.name, config.plan.seed + int(time.time())
         self._store: VoteStore | None = None
         self._lives = 0
         boot = int(time.time() * 1000)
-        kernel = "{}:{}".format(*config.peers.kernel) if file.kernel_fences else ""
+        kernel = "{}:{}".format(*config.peers.kernel) if file.kernel_fences and upstream is None else ""
         place = Place(f"{config.name}@{boot}", file.zone, file.weight, kernel)
         links = link.Links(file.fleet, place.id, tuple(name for name, _ in fleet.addresses), self._seed, now())
         window = max((cls.window_us for cls in config.plan.settings.classes), default=0)
@@ -159,7 +163,7 @@
     def join(self, state: State, handlers: dict[type, Any]) -> None:
         """Have the core reach the member."""
         handlers |= HANDLERS
-        join_fleet(state, Fleet(self.node))
+        join_fleet(state, Fleet(self.node, self._upstream.place if self._upstream is not None else None))
 
     def listen(self) -> tuple[str, int]:
         """Take the others' links. Raises CannotListenError."""
@@ -205,6 +209,9 @@
                 self._forget(why)
             case books.Fence():
                 self._kernels.ask(what)
+            case books.Inquire() if self._upstream is not None:
+                self._upstream.inquire(what, lambda kind, result, fenced: self._post(FromFleet(FateTold(
+                    what.partition, what.epoch, what.what.id, kind, result, fenced))))
 
     def _persist(self, write: raft.Write) -> None:
         store = self._store
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -109,7 +109,8 @@
         try:
             self.fleet = FleetHost(
                 reactor, fleet, self.config, self.loop.post, self._log.line, lambda: self.loop.now,
-                lambda act: deferToThreadPool(reactor, reactor.getThreadPool(), act))
+                lambda act: deferToThreadPool(reactor, reactor.getThreadPool(), act),
+                None if isinstance(self.kernel, KernelLink) else self.kernel)
         except StoreError as error:
             raise ConfigError(f"fleet.toml: store: {error}") from None
         self.fleet.join(self.loop.state, handlers)
--- a/sagetrestle/net/program/translate.py
+++ b/sagetrestle/net/program/translate.py
@@ -24,7 +24,7 @@
 from sagetrestle.membership.view import View
 from sagetrestle.net.program import log
 from sagetrestle.net.program.clock import Clock
-from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig, with_identity
+from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig, with_fleet, with_identity
 from sagetrestle.net.program.limits import Limits, derive
 from sagetrestle.net.program.main import Scorer
 from sagetrestle.net.program.upstream import GroupCommit, Upstream, UpstreamTerms
@@ -119,6 +119,8 @@
     window = max((one.window_ms * MS for one in file.classes), default=0)
     core, identity = _core(path, file), path.parent / "identity.toml"
     core = with_identity(core, identity) if identity.exists() else core
+    fleet = path.parent / "fleet.toml"
+    core = with_fleet(core, fleet) if fleet.exists() else core
     return TranslateConfig(file, root, mapping, core, window)
 
 
--- a/sagetrestle/net/program/upstream.py
+++ b/sagetrestle/net/program/upstream.py
@@ -10,11 +10,12 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from sagetrestle.attempts.keeper import Ask, Drop, Finished, Keeper, KeeperDecision, Send
 from sagetrestle.attempts.values import AttemptEnd, Fate, Job, Result
 from sagetrestle.interface import Effect, Settings
+from sagetrestle.membership.values import Endpoint, Instance, Life, Member
 from sagetrestle.net.protocol import v2
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.routing import inputs
@@ -23,11 +24,15 @@
 from sagetrestle.net.transport.ends import Post
 from sagetrestle.net.transport.v2_client import V2Client
 from sagetrestle.recovery.effects import EffectTable, Entry, Kind, Standing, replay
+from sagetrestle.router import NoRoute, Wanted
 from sagetrestle.store.journal import Journal
 from sagetrestle.translation.convert import TranslationError, to_new, to_old
 from sagetrestle.translation.mapping import Mapping
 from sagetrestle.translation.problems import NEVER_RAN, verdict
 
+if TYPE_CHECKING:  # what is off is not loaded
+    from sagetrestle.takeover.books import Inquire
+
 Describe = Callable[[str], tuple[str | None, str, int, bool, float]]
 TICK_S = 0.01
 DOUBT_EVERY_US = 1_000_000  # between questions after what a death left in doubt
@@ -35,6 +40,8 @@
 GROUP = 256
 COMPACT_AFTER = 50_000  # entries written, after which a snapshot takes the place of all
 MOST_LOSSES = 1_000  # kinds that are remembered as told
+NOWHERE_US = 1_000_000  # how long to stay away where no server can have a key
+INQUIRE_S = 1.0  # for the answer to one question of the fleet's
 
 
 class GroupCommit:
@@ -136,6 +143,7 @@
         self._losses: set[tuple[str, str, str]] = set()
         self._describe: Describe = lambda id: (None, "", 0, False, 0.0)
         self._timer: Any = None
+        self.fleet = ""  # its name, where there is one
 
     def recover(self, entries: Iterable[Entry], spoilt: Iterable[str], why: str = "") -> None:
         """Take up what the journal held; keys in doubt are bound to the server that may have run them.
@@ -166,6 +174,52 @@
     def _now(self) -> int:
         return int(self._reactor.seconds() * 1e6)
 
+    # What the fleet asks
+
+    def place(self, cls: str, tenant: str, key: str) -> str:
+        """Name the server that a new run of a key is sent to, for its record; empty where there is none."""
+        route = self.router.choose(Wanted(v2.effect_key(tenant, cls, key), fixed=True), self._now())
+        return "" if isinstance(route, NoRoute) else write_place(route.member.instance)
+
+    def _placed(self, place: str) -> Member | None:
+        """Return the server that a record names, None where another start under its name took its place."""
+        instance = read_place(place)
+        known = self.router.view.members.get(instance.name) if instance is not None else None
+        if instance is None or known is not None and known.instance.boot != instance.boot:
+            return None
+        return Member(instance, Life.ANNOUNCED, 0)
+
+    def inquire(self, what: Inquire, told: Callable[[Kind, bytes, bool], None]) -> None:
+        """Ask a server what became of a run; ``told`` hears its end once there is one, and whether that is fenced.
+
+        Asking is safe to repeat and is repeated by whoever asked. A server that checks tokens takes nothing of an
+        earlier epoch once it was asked under a later one, and its answer says so.
+        """
+        said, member = what.what, self._placed(what.what.where)
+        if member is None or said.cls not in self._mapping.classes:
+            return  # nobody here can tell: it stays in doubt
+        host, port = member.instance.endpoint
+        token = v2.fencing_token(self.fleet, what.partition, what.epoch)
+        headers, data = v2.encode_question(v2.effect_key(said.tenant, said.cls, said.key), f"{host}:{port}", token)
+        over = False
+
+        def came(end: AttemptEnd, response: v2.Response | None) -> None:
+            nonlocal over
+            over = True
+            fate, answer = fate_of(end, response)
+            if fate is Fate.DONE:
+                found, result = self._translated(
+                    Job(said.id, said.cls, said.tenant, 0, said.key), said.cls, Result(AttemptEnd.ANSWERED, answer))
+                told(Kind.OUTCOME if found is RunEnd.DONE else Kind.FAILED, result, True)
+            elif fate is Fate.FAILED:
+                told(Kind.FAILED, b"", True)
+            elif fate is Fate.UNKNOWN:
+                assert response is not None
+                fenced = response.value.get("fenced")
+                told(Kind.NEVER, b"", isinstance(fenced, int) and fenced >= what.epoch)
+        stream = self._client.send((host, port), headers, data, came)
+        self._reactor.callLater(INQUIRE_S, lambda: None if over else stream.cancel())
+
     # What the core asks of a kernel
 
     def connect(self, number: int, address: tuple[str, int]) -> None:
@@ -211,12 +265,19 @@
         self._note_losses(what.cls, "requests", lost)
         if charge and key is not None:
             run.key = v2.effect_key(tenant, what.cls, key)
-        job = Job(what.id, what.cls, tenant, due_us, run.key, retry)
-        self._call(run, value, tenant, retry, hint_ms)
+        job, token = Job(what.id, what.cls, tenant, due_us, run.key, retry), ""
+        if what.token is not None:
+            member, (partition, epoch, _) = self._placed(what.place), what.token
+            if member is None:  # no server takes it, or the one that may have it is not the one that it was
+                self._over(what.id, RunEnd.NEVER_RAN, retry_after_us=NOWHERE_US)
+                return
+            job, token = job._replace(member=member), v2.fencing_token(self.fleet, partition, epoch)
+        self._call(run, value, tenant, retry, hint_ms, token)
         self._begin(job)
 
-    def _call(self, run: _Run, value: Any, tenant: str, retry: bool, hint_ms: float) -> None:
-        run.call = v2.Call(self._mapping.classes[run.cls].new, value, run.schema, 0, run.key, retry, hint_ms, tenant)
+    def _call(self, run: _Run, value: Any, tenant: str, retry: bool, hint_ms: float, token: str) -> None:
+        run.call = v2.Call(self._mapping.classes[run.cls].new, value, run.schema, 0, run.key, retry, hint_ms, tenant,
+                           token)
 
     def _begin(self, job: Job) -> None:
         """Begin a job as its key stands: what ran is answered, what is in doubt is asked after first."""
@@ -427,6 +488,20 @@
             self._journal.compact(lambda: self.effects.living(self._unix_us()))
 
 
+def write_place(instance: Instance) -> str:
+    """Write down a server for the fleet's records: its name, address and start."""
+    host, port = instance.endpoint
+    return f"{instance.name} {host} {port} {instance.boot}"
+
+
+def read_place(place: str) -> Instance | None:
+    """Read a server that was written down; None where there is none, or one that can not be read."""
+    parts = place.split(" ")
+    if len(parts) != 4 or not parts[2].isdecimal() or not parts[3].isdecimal():
+        return None
+    return Instance(parts[0], Endpoint(parts[1], int(parts[2])), boot=int(parts[3]))
+
+
 def fate_of(end: AttemptEnd, response: v2.Response | None) -> tuple[Fate | None, Any]:
     """Return what a server's word on a key means; None where it could not be asked."""
     if end is not AttemptEnd.ANSWERED or response is None:
--- a/sagetrestle/net/protocol/v2.py
+++ b/sagetrestle/net/protocol/v2.py
@@ -25,6 +25,7 @@
     retry: bool = False
     hint_ms: float = 0.0
     tenant: str = ""
+    token: str = ""
 
 
 class Response(NamedTuple):
@@ -35,6 +36,11 @@
     retry_after: str | None = None
 
 
+def fencing_token(fleet: str, partition: int, epoch: int) -> str:
+    """Return what a server may check: of one fleet's partition it takes nothing of an epoch before the newest known."""
+    return f"{fleet}/{partition}/{epoch}"
+
+
 def effect_key(tenant: str, cls: str, key: str) -> str:
     """Return the key by which servers know an effect: the same from every translator, a tenant's own."""
     return hashlib.sha256(f"{tenant}\0{cls}\0{key}".encode()).hexdigest()
@@ -48,13 +54,15 @@
     headers += [("retry-attempt", "1")] if call.retry else []
     headers += [("work-hint-ms", f"{call.hint_ms:g}")] if call.hint_ms else []
     headers += [("tenant", call.tenant)] if call.tenant else []
+    headers += [("fencing-token", call.token)] if call.token else []
     return headers, msgspec.json.encode({"schema": call.schema, "request": call.value})
 
 
-def encode_question(key: str, authority: str) -> tuple[Headers, bytes]:
+def encode_question(key: str, authority: str, token: str = "") -> tuple[Headers, bytes]:
     """Return the headers of the question what became of a key."""
-    return [(":method", "GET"), (":path", f"/v2/effects/{key}"), (":scheme", "http"), (":authority", authority),
-            ("accept", JSON)], b""
+    headers = [(":method", "GET"), (":path", f"/v2/effects/{key}"), (":scheme", "http"), (":authority", authority),
+               ("accept", JSON)]
+    return headers + ([("fencing-token", token)] if token else []), b""
 
 
 def decode_response(headers: Headers, data: bytes) -> Response:
--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -51,7 +51,8 @@
     access.started(turn, entry)
     turn.state.figures.attempts += 1
     name = turn.state.plan.settings.classes[entry.request.cls].name
-    turn.command(entry, CommandRun(CommandKind.START, entry.request.id, name, entry.request.body, entry.token))
+    turn.command(entry, CommandRun(CommandKind.START, entry.request.id, name, entry.request.body, entry.token,
+                                   entry.place))
 
 
 def _stop(turn: Turn, entry: Entry, action: face.Stop) -> None:
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -116,7 +116,8 @@
 class CommandRun(NamedTuple):
     """Tell the kernel what to do with a run; ``body`` is the request's or the reply's.
 
-    ``token`` is its fencing token where the fleet is on: partition, epoch, owner.
+    ``token`` is its fencing token where the fleet is on: partition, epoch, owner; ``place`` is the server that its
+    record names, where runs are sent on.
     """
 
     kind: CommandKind
@@ -124,6 +125,7 @@
     cls: str = ""
     body: bytes = b""
     token: tuple[int, int, str] | None = None
+    place: str = ""
 
 
 class AskGauges(NamedTuple):
--- a/sagetrestle/net/routing/fleet.py
+++ b/sagetrestle/net/routing/fleet.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from sagetrestle.consensus.core import Raft
@@ -39,13 +39,14 @@
 
 
 class FateTold(NamedTuple):
-    """A kernel told what became of a run of an owner before."""
+    """A kernel or a server told what became of a run; ``fenced``: it takes nothing of an earlier epoch any more."""
 
     partition: int
     epoch: int
     run: str
     kind: Kind
     result: bytes
+    fenced: bool = True
 
 
 class SeatTaken(NamedTuple):
@@ -58,10 +59,14 @@
 
 
 class Fleet:
-    """A member's say on keyed runs."""
+    """A member's say on keyed runs.
 
-    def __init__(self, member: node.Node) -> None:
-        self.node = member
+    ``place`` names the server that a key's run would be sent to, where this member sends runs on: by class, tenant and
+    key, empty where there is none.
+    """
+
+    def __init__(self, member: node.Node, place: Callable[[str, str, str], str] | None = None) -> None:
+        self.node, self._place = member, place
         self._due_us = self._look_us = 0
         self._not_yet: dict[str, None] = {}  # tries that wait until this member may act, in their order
         self._asked: dict[str, list[str]] = {}  # runs of owners before, and the tries that wait for their ends
@@ -119,6 +124,9 @@
             return
         request, keys = entry.request, turn.state.keys
         finished = keys.result(request.id)
+        if entry.in_doubt:
+            self._left_in_doubt(turn, entry)
+            return
         if not entry.ran or keys.ran_id(request) != request.id and finished is None:
             kind, result = Kind.NEVER, b""
         elif finished is not None and finished.result is not None:
@@ -134,6 +142,14 @@
 
     # Inside
 
+    def _left_in_doubt(self, turn: Turn, entry: Entry) -> None:
+        """Leave a run's record as it is, and have it asked after."""
+        entry.recorded, entry.token = False, None
+        what = self._marks(turn, entry.request)
+        at, _ = self.node.books.share_of(what.key)
+        name = judge.effect_key(what.cls, what.tenant, what.key)
+        self.perform(turn, self.node.doubtful(turn.now, turn.unix(), at, name))
+
     def _marks(self, turn: Turn, request: Request) -> books.Marks:
         digest = hashlib.blake2b(request.body, digest_size=16).digest()
         cls = turn.state.plan.settings.classes[request.cls].name
@@ -175,7 +191,12 @@
         """Have the try's intent at all backups before it starts."""
         request, what = entry.request, self._marks(turn, entry.request)
         name = judge.effect_key(what.cls, what.tenant, what.key)
-        what = what._replace(losses=self.node.books.losses(verdict.partition, name))
+        before = self.node.books.before(verdict.partition, name)
+        if before is not None:
+            what = what._replace(losses=before.losses, where=before.where, bound=before.bound)
+        if self._place is not None and not what.bound:
+            what = what._replace(where=self._place(what.cls, what.tenant, what.key))
+        entry.place = what.where
         intent = EffectEntry(Kind.INTENT, name, turn.unix(request.arrived), self.node.me, 0, books.mark(what))
         entry.token = (verdict.partition, verdict.share.epoch, self.node.me)
         entry.recorded = False
@@ -243,8 +264,8 @@
         match event:
             case StoreDone(done):
                 decisions = self.node.persisted(now, unix, done)
-            case FateTold(partition, epoch, run, kind, result):
-                decisions = self.node.fate(now, unix, partition, epoch, run, kind, result)
+            case FateTold():
+                decisions = self.node.fate(now, unix, *event)
             case SeatTaken(seat):
                 decisions = self.node.seated(now, unix, seat)
             case _:
--- a/sagetrestle/net/routing/runs.py
+++ b/sagetrestle/net/routing/runs.py
@@ -171,6 +171,7 @@
         access.never_ran(turn, entry)
     if item.end is RunEnd.IN_DOUBT:  # the next try is to be asked after there, not answered from here
         turn.state.keys.never_ran(entry.request)
+        entry.in_doubt = True
     done = item.end is RunEnd.DONE
     turn.answer(entry, _answer(turn, entry, item))
     turn.over(entry, item.result if done else None)
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -53,6 +53,8 @@
     claimed: bool = False  # granted by another process
     recorded: bool = False  # at the backups, where the fleet is on
     token: tuple[int, int, str] | None = None  # partition, epoch, owner
+    place: str = ""  # the server that its record names, where runs are sent on
+    in_doubt: bool = False  # its run is over, and nobody knows how
     pausing: bool = False
     resent: list[CommandKind] = field(default_factory=list)  # written twice, so that one may be rejected
     unconfirmed: list[Command] = field(default_factory=list)
--- a/sagetrestle/takeover/books.py
+++ b/sagetrestle/takeover/books.py
@@ -15,13 +15,14 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from sagetrestle.ownership.values import FleetMap, FleetTerms, Origin, Place, Share
+from sagetrestle.ownership.values import SEVERAL, FleetMap, FleetTerms, Origin, Place, Share
 from sagetrestle.recovery.effects import Effect, EffectError, EffectTable, Entry, Kind, Standing
 from sagetrestle.takeover import messages
 from sagetrestle.takeover.messages import BYTES_A_MESSAGE, ENTRIES_A_MESSAGE, FleetMessage
 
 AGAIN_US = 100_000  # until what was not acknowledged is sent again
 ASK_EVERY_US = 1_000_000  # between questions after what an owner before may have run
+INQUIRE_EVERY_US = 250_000  # the same, of servers that do not tell by themselves
 TAIL = 4_096  # entries kept to bring a copy up to date without all of them
 MOST_LOSSES = 2  # owners that one key may cost
 CHUNKS_OUT = 4  # chunks of a transfer that are not acknowledged
@@ -68,19 +69,29 @@
     runs: tuple[str, ...]
 
 
+class Inquire(NamedTuple):
+    """Ask the server where a run may be, under this epoch, what became of it."""
+
+    partition: int
+    epoch: int
+    what: Marks
+
+
 class Note(NamedTuple):
     """A line for the log."""
 
     text: str
 
 
-Decision = Say | Start | TurnAway | Resolved | Fence | Note
+Decision = Say | Start | TurnAway | Resolved | Fence | Inquire | Note
 
 
 class Marks(NamedTuple):
     """What an entry's digest tells of its try, packed by ``mark``.
 
-    ``losses`` counts owners that were lost with the key in hand before it had begun to run.
+    ``losses`` counts owners that were lost with the key in hand before it had begun to run. ``where`` names the server
+    that an owner which sends on sends it to; ``bound`` tells that a run before may yet reach that server, so that no
+    other may have the key, though it is known never to have run so far.
     """
 
     id: str
@@ -89,17 +100,23 @@
     key: str
     body: bytes  # its digest
     losses: int = 0
+    where: str = ""
+    bound: bool = False
 
 
 def mark(what: Marks) -> bytes:
     """Pack a try's marks."""
-    return b"\0".join([*(one.encode() for one in what[:4]), b"%d" % what.losses, what.body])
+    place = f"{'!' if what.bound else ' '}{what.where}".encode() if what.where else b""
+    return b"\0".join([*(one.encode() for one in what[:4]), b"%d" % what.losses + place, what.body])
 
 
 def marks(digest: bytes) -> Marks:
     """Unpack a try's marks."""
-    id, cls, tenant, key, losses, body = digest.split(b"\0", 5)
-    return Marks(id.decode(), cls.decode(), tenant.decode(), key.decode(), body, int(losses))
+    id, cls, tenant, key, told, body = digest.split(b"\0", 5)
+    digits = len(told) - len(told.lstrip(b"0123456789"))
+    losses, place = int(told[:digits]), told[digits:].decode()
+    return Marks(id.decode(), cls.decode(), tenant.decode(), key.decode(), body, losses, place[1:],
+                 place.startswith("!"))
 
 
 @dataclass(slots=True)
@@ -178,16 +195,32 @@
         copy = self.copies.get(at)
         return copy is not None and len(copy.share.backups) >= self.terms.least
 
-    def losses(self, at: int, effect_key: str) -> int:
-        """Return how many owners were lost with a key in hand that never ran."""
+    def before(self, at: int, effect_key: str) -> Marks | None:
+        """Return what is kept of a key that never ran so far: what it cost, and where it may yet run."""
         effect = self.copies[at].table.effects.get(effect_key) if at in self.copies else None
-        return marks(effect.digest).losses if effect is not None and effect.standing is Standing.FREE \
-            and effect.digest else 0
+        return marks(effect.digest) if effect is not None and effect.standing is Standing.FREE and effect.digest \
+            else None
+
+    def goes_on(self, at: int, effect: Effect) -> bool:
+        """Tell whether an effect in doubt is a run of this member's that it will hear the end of."""
+        return effect.server == self.me and marks(effect.digest).id not in self.copies[at].doubts
+
+    def doubtful(self, now: int, unix: int, at: int, effect_key: str) -> list[Decision]:
+        """Take that a run of one's own is over and that its end is not known: it is asked after from now on."""
+        copy = self.copies.get(at)
+        effect = copy.table.get(effect_key, unix) if copy is not None else None
+        if copy is None or copy.share.owner != self.me or effect is None or effect.standing is not Standing.IN_DOUBT \
+                or effect.server != self.me:
+            return []  # whoever owns it now asks after it
+        copy.doubts[marks(effect.digest).id], copy.ask_us = effect_key, 0
+        return self._ask(now, unix, at, copy)
 
     def record(self, now: int, at: int, id: str, entry: Entry) -> list[Decision]:
         """Record an intent; ``Start`` follows once all backups have it. Raises EffectError."""
         copy = self.copies[at]
         entries = [entry]
+        if copy.table.standing(entry.key, entry.at_us) is not Standing.FREE:
+            raise EffectError(f"key {entry.key!r}: is recorded already")
         copy.table.take(entry)
         self._extend(copy, entries)
         copy.asks.append((copy.at, id))
@@ -200,6 +233,9 @@
             if len(self._telling) < MOST_TOLD:
                 self._telling[(at, entry.key)] = entry._replace(server=self.me)
             return self._tell(now, at)
+        old = copy.table.effects.get(entry.key)
+        if entry.kind is Kind.NEVER and old is not None and old.digest and marks(old.digest).bound:
+            entry = entry._replace(digest=old.digest)  # this run did not; the one before may yet
         try:
             copy.table.take(entry)
         except EffectError as error:
@@ -280,15 +316,30 @@
             copy.acked, copy.asks = {}, deque()
             copy.clear_us = copy.ask_us = 0
             self.taken_over += 1
-            copy.doubts = {marks(one.digest).id: one.key for one in copy.table.in_doubt(unix)
-                           if one.server not in ("", self.me)}
+            # A run of its own, from when it owned this before, may have ended unknown meanwhile: a server can tell.
+            copy.doubts = {said.id: one.key for one in copy.table.in_doubt(unix) if one.server
+                           for said in (marks(one.digest),) if one.server != self.me or said.where}
+            decisions += self._own_ends(now, unix, at, copy)
             if share.before:  # whose lease may last as long as one that was granted just now
                 copy.clear_us = now + int(self.terms.lease_us * (1 + 2 * self.terms.drift)) + 1
-                decisions.append(Say(share.before, messages.AskSeen(at, share)))
+                decisions += self._ask_seen(at, share)
         copy.sent, copy.sent_us = {}, {}
         decisions += self._stream(now, at, copy)
         return decisions + self._started(copy, at) + self._ask(now, unix, at, copy)
 
+    @staticmethod
+    def _ask_seen(at: int, share: Share) -> list[Decision]:
+        return [Say(share.before, messages.AskSeen(at, share))] if share.before not in ("", SEVERAL) else []
+
+    def _own_ends(self, now: int, unix: int, at: int, copy: Copy) -> list[Decision]:
+        """Take the ends of runs of one's own that no owner in between was told."""
+        found: list[Decision] = []
+        for key in [key for part, key in self._telling if part == at]:
+            entry, effect = self._telling.pop((at, key)), copy.table.get(key, unix)
+            if effect is not None and effect.standing is Standing.IN_DOUBT and effect.server == self.me:
+                found += self._settle(now, at, copy, effect, entry.kind, entry.result, unix)
+        return found
+
     # The owner's side
 
     def _stream(self, now: int, at: int, copy: Copy) -> list[Decision]:
@@ -450,36 +501,50 @@
             return []
         copy.ask_us = now + ASK_EVERY_US
         by: dict[str, list[str]] = {}
+        found: list[Decision] = []
         for run, key in list(copy.doubts.items()):
             effect = copy.table.get(key, unix)
             if effect is None or effect.standing is not Standing.IN_DOUBT or not effect.server:
                 del copy.doubts[run]
+            elif (said := marks(effect.digest)).where:
+                copy.ask_us = now + INQUIRE_EVERY_US  # a server tells how it stands now, not when it ends
+                if len(found) < ENTRIES_A_MESSAGE:
+                    found.append(Inquire(at, copy.share.epoch, said))
             elif self.askable(effect):
                 by.setdefault(effect.server, []).append(run)
-        return [Fence(self.places[server], at, copy.share.epoch, tuple(runs[first:first + ENTRIES_A_MESSAGE]))
-                for server, runs in by.items() for first in range(0, len(runs), ENTRIES_A_MESSAGE)]
+        return found + [Fence(self.places[server], at, copy.share.epoch, tuple(runs[first:first + ENTRIES_A_MESSAGE]))
+                        for server, runs in by.items() for first in range(0, len(runs), ENTRIES_A_MESSAGE)]
 
     def askable(self, effect: Effect) -> bool:
-        """Tell whether there is a kernel that could say what became of an effect in doubt."""
-        return effect.server in self.places and bool(self.places[effect.server].kernel)
+        """Tell whether there is a server or a kernel that could say what became of an effect in doubt."""
+        return bool(effect.digest and marks(effect.digest).where) or (
+            effect.server in self.places and bool(self.places[effect.server].kernel))
+
+    def fate(self, now: int, at: int, epoch: int, run: str, kind: Kind, result: bytes, unix: int,
+             fenced: bool = True) -> list[Decision]:
+        """Take the word on a run of an owner before, or on one of one's own that is asked after.
 
-    def fate(self, now: int, at: int, epoch: int, run: str, kind: Kind, result: bytes, unix: int) -> list[Decision]:
-        """Take a kernel's word on a run of an owner before: it ran, failed, or never will."""
+        It ran, failed, or has not run. That it never will is proven where whoever said so takes nothing of an earlier
+        epoch any more (``fenced``) and the run is of one.
+        """
         copy = self.copies.get(at)
         if copy is None or copy.share.owner != self.me or epoch > copy.share.epoch:
             return []
         effect = copy.table.get(copy.doubts.get(run, ""), unix)
-        if effect is None or effect.standing is not Standing.IN_DOUBT or effect.server in ("", self.me):
+        if effect is None or effect.standing is not Standing.IN_DOUBT or not effect.server:
             return []
-        return self._settle(now, at, copy, effect, kind, result, unix)
+        return self._settle(now, at, copy, effect, kind, result, unix, fenced and effect.server != self.me)
 
     def _settle(self, now: int, at: int, copy: Copy, effect: Effect, kind: Kind, result: bytes,
-                unix: int) -> list[Decision]:
+                unix: int, proven: bool = True) -> list[Decision]:
         said, notes = marks(effect.digest), []
         entry = Entry(kind, effect.key, max(unix, effect.at_us), result=result)
         if kind is Kind.NEVER:
-            entry = entry._replace(digest=mark(said._replace(losses=said.losses + 1)))
-            if said.losses + 1 >= MOST_LOSSES:  # whoever takes it up is lost: nobody does any more
+            losses = said.losses + (effect.server != self.me)
+            kept = said._replace(losses=losses, bound=True) if not proven else said._replace(
+                losses=losses, where="", bound=False)
+            entry = entry._replace(digest=mark(kept))
+            if losses >= MOST_LOSSES:  # whoever takes it up is lost: nobody does any more
                 kind, entry = Kind.FAILED, Entry(Kind.FAILED, effect.key, entry.at_us)
                 notes.append(Note(f"key {said.key} is refused from now on: {MOST_LOSSES} owners were lost with it"))
         copy.table.take(entry)
@@ -549,7 +614,7 @@
             for id in copy.share.copies:
                 found += self._again(now, at, copy, id)
             if now < copy.clear_us:
-                found.append(Say(copy.share.before, messages.AskSeen(at, copy.share)))
+                found += self._ask_seen(at, copy.share)
             found += self._ask(now, unix, at, copy)
         if now >= self._tell_us:
             found += self._tell(now)
--- a/sagetrestle/takeover/judge.py
+++ b/sagetrestle/takeover/judge.py
@@ -19,7 +19,7 @@
     CONFLICT = "its key came before with another body"
     ELSEWHERE = "another member owns its partition"
     NOT_YET = "this member owns its partition and may not act yet"
-    ASKED = "it may have run at an owner before, whose kernel is asked"
+    ASKED = "it may have run, and the kernel or server that would know is asked"
     DOUBT = "it may have run, and nobody can tell"
     RUNS = "it runs here"
     FREE = "it never ran"
@@ -58,7 +58,7 @@
         return Verdict(Word.NOT_YET, at, share)
     if effect is None or effect.standing is Standing.FREE:
         return Verdict(Word.FREE, at, share)
-    if effect.server == node.me:
+    if node.books.goes_on(at, effect):
         return Verdict(Word.RUNS, at, share, effect)
     asked = bool(effect.server) and node.books.askable(effect)
     return Verdict(Word.ASKED if asked else Word.DOUBT, at, share, effect)
--- a/sagetrestle/takeover/node.py
+++ b/sagetrestle/takeover/node.py
@@ -57,7 +57,7 @@
 
 
 Decision = (link.Dial | link.Write | link.Close | Persist | Forget | Changed | book.Start | book.TurnAway
-            | book.Resolved | book.Fence | book.Note)
+            | book.Resolved | book.Fence | book.Inquire | book.Note)
 
 
 @dataclass(slots=True)
@@ -70,6 +70,7 @@
     synced: set[tuple[int, int, str]] = field(default_factory=set)
     plan_us: int = 0
     orphans: dict[int, int] = field(default_factory=dict)  # partitions whose members are all silent, and since when
+    unclear: dict[int, int] = field(default_factory=dict)  # partitions, and when all owners before are over
     planned: tuple[object, ...] = ()  # what the last plan was made of, if it changed nothing
 
 
@@ -182,11 +183,17 @@
         self._books(self.books.ended(now, at, entry))
         return self._done()
 
+    def doubtful(self, now: int, unix: int, at: int, effect_key: str) -> list[Decision]:
+        """Take that a run of one's own is over, and that its end is not known."""
+        self._at(now, unix)
+        self._books(self.books.doubtful(now, unix, at, effect_key))
+        return self._done()
+
     def fate(self, now: int, unix: int, at: int, epoch: int, run: str, kind: EntryKind,
-             result: bytes) -> list[Decision]:
-        """Take a kernel's word on a run of an owner before."""
+             result: bytes, fenced: bool = True) -> list[Decision]:
+        """Take a kernel's or a server's word on a run in doubt."""
         self._at(now, unix)
-        self._books(self.books.fate(now, at, epoch, run, kind, result, unix))
+        self._books(self.books.fate(now, at, epoch, run, kind, result, unix, fenced))
         return self._done()
 
     # Inside
@@ -346,6 +353,9 @@
 
     def _agree(self, known: FleetMap) -> None:
         changed = known.order > self.agreed.order
+        for at, (old, new) in enumerate(zip(self.agreed.shares, known.shares, strict=False)):
+            if new.epoch != old.epoch and new.before:  # until now its owner before may have been granted a lease
+                self.lead.unclear[at] = self._now + self.lead.grantor.span_us
         self.agreed = known
         self._see(known)
         if changed and self.seat is not None and self.seat.role is raft.Role.LEADER:
@@ -377,7 +387,8 @@
             of = (self.agreed.version, alive, set(lead.leaving), frozenset(lead.synced), patient)
             if of == lead.planned:
                 return
-            plan = Planner(self.agreed, alive, lead.leaving, frozenset(lead.synced), self.terms, patient)
+            plan = Planner(self.agreed, alive, lead.leaving, frozenset(lead.synced), self.terms, patient,
+                           self._unclear())
             changes, gone = plan.changes(), plan.gone()
             lead.planned = () if changes or gone else of
             lead.synced = {one for one in lead.synced if one[0] < len(self.agreed.shares)
@@ -385,6 +396,14 @@
             if changes or gone:
                 self._propose(Arranged(changes, gone))
 
+    def _unclear(self) -> frozenset[int]:
+        """Return partitions of whose owner before the lease may still last: of all, where this one began to lead."""
+        lead, now = self.lead, self._now
+        if now < lead.grantor.since_us + lead.grantor.span_us:
+            return frozenset(range(len(self.agreed.shares)))
+        lead.unclear = {at: until for at, until in lead.unclear.items() if now < until}
+        return frozenset(lead.unclear)
+
     def _silent(self, alive: set[str]) -> frozenset[int]:
         """Return partitions whose records are with silent members alone, as long as those are waited for.
 
--- a/tests/takeover/test_fleet_model.py
+++ b/tests/takeover/test_fleet_model.py
@@ -36,6 +36,11 @@
             world.run(8)
             self.campaign(world)
 
+    def test_an_owner_two_handovers_ago_that_heard_of_neither_is_waited_for(self):
+        world = World(1100, servers=3)
+        self.assertTrue(world.run(30, world.ready))
+        self.campaign(world)
+
     def test_seeds(self):
         served = asked = faults = 0
         for seed in range(12):
@@ -47,6 +52,16 @@
                 faults += world.faults
         self.assertGreater(served, 0.55 * asked, (served, asked, faults))
 
+    def test_translators_over_lists_that_differ_with_requests_that_come_late(self):
+        served = asked = 0
+        for seed in range(12):
+            with self.subTest(seed):
+                world = World(seed, servers=3, checks=seed % 3 > 0)
+                self.assertTrue(world.run(15, world.ready))
+                asked += self.campaign(world)
+                served += len(world.served)
+        self.assertGreater(served, 0.55 * asked, (served, asked))
+
     def campaign(self, world, steps=40):
         """Trouble while charges come; then all heals, and full service has to return."""
         rng, number, world.faults = world.rng, 0, 0
--- a/tests/takeover/world.py
+++ b/tests/takeover/world.py
@@ -51,6 +51,39 @@
                 told(run, Kind.OUTCOME if run in self.runs else Kind.NEVER)
 
 
+class Server:
+    """A new server behind translators: each key once, whoever sends it, and a token only if it checks them."""
+
+    def __init__(self, world, name, checks):
+        self.world, self.name, self.checks = world, name, checks
+        self.epochs, self.keys, self.cut = Counter(), {}, False
+
+    def note(self, token):
+        partition, epoch, _ = token
+        self.epochs[partition] = max(epoch, self.epochs[partition])
+        return self.checks and epoch < self.epochs[partition]
+
+    def take(self, key, token, answer):
+        if self.note(token) and key not in self.keys:
+            answer("never")
+        elif self.keys.get(key) == "done":
+            answer("done")
+        elif key in self.keys:
+            self.world.later(60_000, self.take, key, token, answer)
+        else:
+            self.keys[key] = "running"
+            self.world.ran[key].append((self.world.now, self.name, token))
+            self.world.later(self.world.rng.randint(5_000, 60_000), self.over, key, answer)
+
+    def over(self, key, answer):
+        self.keys[key] = "done"
+        answer("done")
+
+    def told(self, key, token):
+        self.note(token)
+        return self.keys.get(key, "never"), self.checks and self.epochs[token[0]] >= token[1]
+
+
 class Process:
     """One member over its lives; a stopped one takes nothing until it goes on, and then all of it."""
 
@@ -76,7 +109,7 @@
         seat = self.seat() if self.name in council else None
         one = links.Links("test", place.id, world.names, world.seed + self.lives, self.now())
         self.node = node.Node(place, council, world.terms, one, WINDOW_US, seat)
-        self.tries, self.count = {}, 0
+        self.tries, self.count, self.places = {}, 0, {}
         self.act("begin")
 
     def seat(self):
@@ -124,6 +157,8 @@
             case books.Resolved(_, run, standing, result):
                 for id in [id for id, one in self.tries.items() if one[2] == run]:
                     self.answer(id, "served" if standing.value == "ran" else "refused", result)
+            case books.Inquire():
+                self.inquire(what)
             case books.Fence(place, partition, epoch, runs):
                 kernel = world.kernels.get(place.kernel)
                 if kernel is not None and not world.parted(self.name, kernel.name):
@@ -147,6 +182,9 @@
             self.take(key, tell)
 
     def take(self, key, tell):
+        if self.stopped:  # judging and recording are one turn: none is left in the middle
+            self.backlog.append((None, (key, tell)))
+            return
         if not self.node.books.map.shares:
             tell("refused")
             return
@@ -163,7 +201,12 @@
             case Word.FREE:
                 self.tries[id] = (key, tell, id)
                 name = effect_key("paid", "t", key)
-                what = what._replace(losses=self.node.books.losses(verdict.partition, name))
+                before = self.node.books.before(verdict.partition, name)
+                what = what._replace(where=self.place(key) if self.world.servers else "")
+                if before is not None:
+                    what = what._replace(losses=before.losses)
+                    what = what._replace(where=before.where, bound=True) if before.bound else what
+                self.places[id] = what.where
                 entry = Entry(Kind.INTENT, name, unix, self.node.me, 0, books.mark(what))
                 self.act("record", verdict.partition, id, entry)
             case Word.ELSEWHERE | Word.NOT_YET:
@@ -190,19 +233,58 @@
         if self.stopped:
             self.backlog.append(("command", (id, key, token, lives)))
             return
-        self.kernel.start(id, key, token, lambda run: self.finished(run, key, lives))
+        if self.world.servers:
+            self.send_on(id, key, token, lives)
+        else:
+            self.kernel.start(id, key, token, lambda run: self.finished(run, key, lives))
+
+    # A translator's side: a request may be on its way for long
 
-    def finished(self, run, key, lives):
+    def place(self, key):
+        """Choose from a list that is not the others'."""
+        names = sorted(self.world.servers)
+        return random.Random(f"{self.name}{key}").choice(names)
+
+    def send_on(self, id, key, token, lives):
+        world = self.world
+        server = world.servers[self.places[id]]
+        lost = [False]
+
+        def came(how):
+            if not lost[0]:
+                lost[0] = True
+                self.finished(id, key, lives, how)
+        way = world.rng.choice((500, 1_000, 2_000, world.rng.randint(500_000, 9 * S)))
+        world.later(way, lambda: server.take(key, token, lambda how: world.later(way, came, how)))
+        world.later(2 * S, came, "doubt")
+
+    def inquire(self, what):
+        world, server, lives = self.world, self.world.servers[what.what.where], self.lives
+        token = (what.partition, what.epoch, self.node.me)
+
+        def back(how, fenced):
+            kind = {"done": Kind.OUTCOME, "never": Kind.NEVER}.get(how)
+            if kind is not None and lives == self.lives:
+                result = what.what.key.encode() if kind is Kind.OUTCOME else b""
+                self.act("fate", what.partition, what.epoch, what.what.id, kind, result, fenced)
+        way = world.rng.choice((500, 1_000, world.rng.randint(1_000, 3 * S)))
+        world.later(way, lambda: world.later(way, back, *server.told(what.what.key, token)))
+
+    def finished(self, run, key, lives, how="done"):
         if self.lives != lives or not self.up:
             return
         if self.stopped:
-            self.backlog.append(("finished", (run, key, lives)))
+            self.backlog.append(("finished", (run, key, lives, how)))
             return
-        at = partition_of(key, self.world.terms.partitions)
-        entry = Entry(Kind.OUTCOME, effect_key("paid", "t", key), UNIX + self.world.now, result=run.encode())
-        self.act("ended", at, entry)
+        at, name = partition_of(key, self.world.terms.partitions), effect_key("paid", "t", key)
+        result = key.encode() if self.world.servers else run.encode()
+        if how == "doubt":
+            self.act("doubtful", at, name)
+        else:
+            kind = Kind.OUTCOME if how == "done" else Kind.NEVER
+            self.act("ended", at, Entry(kind, name, UNIX + self.world.now, result=result if how == "done" else b""))
         for id in [id for id, one in self.tries.items() if one[2] == run]:
-            self.answer(id, "served", run.encode())
+            self.answer(id, *(("served", result) if how == "done" else ("failed",)))
 
     def answer(self, id, how, result=b""):
         one = self.tries.pop(id, None)
@@ -237,12 +319,13 @@
 class World:
     """All of it, from one seed."""
 
-    def __init__(self, seed, size=5, council=3, terms=None, zones=1):
+    def __init__(self, seed, size=5, council=3, terms=None, zones=1, servers=0, checks=True):
         self.seed, self.rng, self.now, self.count = seed, random.Random(seed), 0, 0
         self.terms = terms or FleetTerms(partitions=8, new=True)
         self.mail, self.ends, self.held, self.cut, self.loss, self.pause = [], {}, [], set(), 0.0, 0.0
         self.poisoned, self.owners_may_overlap = [], False
         self.ran, self.served, self.outcomes, self.kernels = defaultdict(list), {}, Counter(), {}
+        self.servers = {one: Server(self, one, checks) for one in (f"s{at}" for at in range(servers))}
         self.names = tuple(f"n{at}" for at in range(size))
         self.council = self.names[:council]
         self.members = {}
