--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -35,12 +35,14 @@
 @click.option("--zones", default=1, show_default=True)
 @click.option("--kind", "kinds", multiple=True, help="Only these faults.")
 @click.option("--stores/--no-stores", default=True, show_default=True)
+@click.option("--servers", default=0, show_default=True, help="New servers: the members are translators then.")
 @click.option("--off", is_flag=True, help="Without a fleet.")
 @click.option("--revision", help="An earlier revision, without a fleet.")
 def main(seeds: int, first: int, size: int, seconds: float, rate: float, zones: int, kinds: tuple[str, ...],
-         stores: bool, off: bool, revision: str | None) -> None:
+         stores: bool, servers: int, off: bool, revision: str | None) -> None:
     """Run campaigns one after another; exit code 1 if anything was broken."""
-    print(heading(f"{seeds} seeds, {size} members{', revision ' + revision if revision else ''}"), flush=True)
+    kind = f"translators over {servers} servers" if servers else "members"
+    print(heading(f"{seeds} seeds, {size} {kind}{', revision ' + revision if revision else ''}"), flush=True)
     total, faults, broken, took = Counter(), Counter(), [], []
     with tempfile.TemporaryDirectory() as name:
         root = ROOT
@@ -50,7 +52,7 @@
         try:
             for seed in range(first, first + seeds):
                 report = asyncio.run(campaign(seed, size, seconds, rate, not (off or revision), root, zones=zones,
-                                              stores=stores, kinds=kinds))
+                                              stores=stores, kinds=kinds, servers=servers))
                 print(shown(report), flush=True)
                 found = report.findings
                 total += Counter(charges=found.charges, served=found.served, runs=report.runs,
--- a/sagetrestle/lab/campaign.py
+++ b/sagetrestle/lab/campaign.py
@@ -11,11 +11,13 @@
 from pathlib import Path
 from typing import Any
 
+from sagetrestle.lab.faults import Link
 from sagetrestle.lab.history import Findings
 from sagetrestle.lab.load import Planned
 from sagetrestle.lab.place import LabClass, Place
 from sagetrestle.lab.processes import Rig
 from sagetrestle.lab.scorer import ROOT
+from sagetrestle.lab.translators import TranslatorRig
 
 # Light work and long limits: the machine has few cores, and what may run when is the subject.
 CLASSES = (LabClass("quick-check", 0.004, 0, 0.5, 0.5, 2.0),
@@ -44,13 +46,15 @@
 
 async def campaign(seed: int, size: int = 6, seconds: float = 12.0, rate: float = 15.0, fleet: bool = True,
                    root: Path = ROOT, council: int = 3, zones: int = 1, stores: bool = True,
-                   kinds: tuple[str, ...] = ()) -> CampaignReport:
-    """Run one seed; ``kinds`` of faults, or all."""
+                   kinds: tuple[str, ...] = (), servers: int = 0) -> CampaignReport:
+    """Run one seed; ``kinds`` of faults, or all. With ``servers`` the members are translators, whose lists differ."""
     rng = random.Random(seed)
     rows: dict[str, Any] = {**FLEET, **({"store": "council.db"} if stores else {})}
     with tempfile.TemporaryDirectory() as name:
-        rig = Rig(Path(name), size, Place(cores=2, classes=CLASSES, servers=size, window_us=WINDOW_US), seed=seed,
-                  root=root, fleet=rows if fleet else None, council=council, zones=zones)
+        more: dict[str, Any] = {"seed": seed, "root": root, "fleet": rows if fleet else None, "council": council,
+                                "zones": zones}
+        rig = _translators(Path(name), size, servers, rng, more) if servers else Rig(
+            Path(name), size, Place(cores=2, classes=CLASSES, servers=size, window_us=WINDOW_US), **more)
         try:
             await rig.start()
             report = CampaignReport(seed, Findings())
@@ -60,12 +64,21 @@
             report.findings = rig.finished().check()
             kernels = [*(one.kernel for one in rig.machines.values()), *(kernel for _, kernel in rig.lost)]
             report.refused_epochs = sum(len(one.refused) for one in kernels)
+            if isinstance(rig, TranslatorRig):
+                report.refused_epochs = sum(one.refused_epochs for one in rig.servers.values())
             report.runs = len(rig.history.ran)
             return report
         finally:
             await rig.close()
 
 
+def _translators(folder: Path, size: int, servers: int, rng: random.Random, more: dict[str, Any]) -> TranslatorRig:
+    """Return translators of which each knows a part of the servers; those check tokens in two of three seeds."""
+    names = [f"s{at}" for at in range(servers)]
+    lists = {f"t{at}": rng.sample(names, rng.randint(1, servers)) for at in range(size)}
+    return TranslatorRig(folder, size, servers, lists, WINDOW_US, checks_tokens=rng.random() < 0.67, **more)
+
+
 async def _load(rig: Rig, rng: random.Random, report: CampaignReport, seconds: float, rate: float) -> None:
     start, at, tasks, number = time.monotonic(), 0.0, [], 0
 
@@ -77,7 +90,8 @@
         await asyncio.sleep(max(0.0, start + at - time.monotonic()))
         number += 1
         key = f"{report.seed}-{number}"
-        planned = Planned(at, number, "paid-check", "t", "f", f"charge {key}".encode(), key)
+        body = f"applicant={key}\n" if isinstance(rig, TranslatorRig) else f"charge {key}"
+        planned = Planned(at, number, "paid-check", "t", "f", body.encode(), key)
         tasks.append(asyncio.create_task(one(planned, rng.randrange(len(rig.callers)))))
         if rng.random() < 0.15:  # a second caller with the key at nearly the same moment
             tasks.append(asyncio.create_task(one(planned._replace(retry=True), rng.randrange(len(rig.callers)))))
@@ -89,6 +103,8 @@
     """Make trouble for two thirds of the time, with a majority of members and of the council up; then mend it all."""
     start = time.monotonic()
     allowed = kinds or ("kill", "lose", "stop", "cut", "one-way", "loss", "heal", "restart")
+    if isinstance(rig, TranslatorRig) and not kinds:
+        allowed += ("server", "wire", "wire")
     tasks: list[asyncio.Task[Any]] = []
     while time.monotonic() - start < seconds * 0.66:
         await asyncio.sleep(rng.uniform(0.3, 1.0))
@@ -112,6 +128,14 @@
             if not dead:
                 continue
             await rig.begin(rng.choice(dead))
+        elif kind in ("server", "wire") and isinstance(rig, TranslatorRig):
+            name = rng.choice(list(rig.servers))
+            if kind == "server":
+                tasks.append(asyncio.create_task(rig.servers[name].die(rng.uniform(0.1, 0.5))))
+            else:
+                wire = rig.wires.all[("all", name)]
+                rng.choice((wire.stick, wire.reset, wire.cut, wire.silence))()
+                tasks.append(asyncio.create_task(_mend(wire, rng.uniform(0.5, 3.0))))
         elif kind in ("cut", "one-way"):
             some = rng.sample(rig.names, rng.randint(1, max(1, rig.size // 3)))
             others = [name for name in (*rig.names, *(one.name for one in rig.callers)) if name not in some]
@@ -126,11 +150,18 @@
         report.faults[kind] += 1
     await asyncio.gather(*tasks)
     rig.links.heal()
+    if isinstance(rig, TranslatorRig):
+        rig.wires.heal()
     for name in rig.names:
         if rig.scorers[name].process.returncode is not None:
             await rig.begin(name)
 
 
+async def _mend(wire: Link, wait_s: float) -> None:
+    await asyncio.sleep(wait_s)
+    wire.heal()
+
+
 async def _later(rig: Rig, name: str, wait_s: float) -> None:
     await asyncio.sleep(wait_s)
     rig.go_on(name)
--- a/sagetrestle/lab/faults.py
+++ b/sagetrestle/lab/faults.py
@@ -62,6 +62,14 @@
         for one in self._stuck:
             one[0] = True
 
+    def cut(self) -> None:
+        """Let nothing pass there."""
+        self.there.cut = True
+
+    def silence(self) -> None:
+        """Let nothing pass back."""
+        self.back.cut = True
+
     def reset(self) -> None:
         """Cut off all connections, as a broken path does."""
         for writer in list(self._writers):
--- a/sagetrestle/lab/translators.py
+++ b/sagetrestle/lab/translators.py
@@ -90,14 +90,14 @@
 
     def __init__(self, folder: Path, size: int = 2, servers: int = 2, lists: Mapping[str, Sequence[str]] | None = None,
                  window_us: int = 30_000_000, seed: int = 1, root: Path = ROOT, checks_tokens: bool = True,
-                 **more: Any) -> None:
+                 limit_s: float = 5.0, **more: Any) -> None:
         super().__init__(folder, size, Place(classes=CLASSES, window_us=window_us), seed=seed, root=root, **more)
         self.names = [f"t{at}" for at in range(size)]
         self._direct = {name: port for name, port in zip(self.names, self._direct.values(), strict=False)}
         self.council = self.names[:min(len(self.names), more.get("council", 3))]
         self.servers = {f"s{at}": NewServer(0.02, checks_tokens) for at in range(servers)}
         self.wires = Links(seed, framed=False)
-        self._lists = dict(lists or {})
+        self._lists, self._limit_s = dict(lists or {}), limit_s
 
     async def start(self) -> TranslatorRig:
         """Start servers, then translators, and wait until each caller knows who owns what."""
@@ -126,8 +126,8 @@
         """Start a translator, with the journal that it had unless it is to be a ``fresh`` one."""
         home = self.folder / name
         home.mkdir(exist_ok=True)
-        for one in home.glob("journal.db*") if fresh else ():
-            one.unlink()
+        if fresh:
+            self.lose(name)
         files = {"translate.toml": self._translate_toml(name),
                  "mapping.toml": "version = 1\nschema = 2\n" + MAPPED}
         if self._fleet is not None:
@@ -143,8 +143,9 @@
     def _translate_toml(self, name: str) -> str:
         text = f'name = "{name}"\nmapping = "deploy/mapping.toml"\njournal = "journal.db"\nopen = 32\n'
         for one in CLASSES:
-            text += (f'[[classes]]\nname = "{one.name}"\naim_ms = {int(one.aim_s * 1000)}\n'
-                     f"limit_ms = {int(one.limit_s * 1000)}\n")
+            limit_s = min(one.limit_s, self._limit_s)
+            text += (f'[[classes]]\nname = "{one.name}"\naim_ms = {int(min(one.aim_s, limit_s) * 1000)}\n'
+                     f"limit_ms = {int(limit_s * 1000)}\n")
             text += f'effect = "keyed"\nworth = 4.0\nwindow_ms = {self.place.window_us // 1000}\n' if one.charge else ""
         for server in self._lists.get(name, self.servers):
             port = self.wires.all[("all", server)].port
@@ -152,7 +153,9 @@
         return text
 
     def lose(self, name: str) -> None:
-        """There is no kernel to be lost with a translator."""
+        """Lose a translator's journal, and whatever else was on its disk."""
+        for one in [*(self.folder / name).glob("journal.db*"), *(self.folder / name).glob("council.db*")]:
+            one.unlink()
 
     async def close(self) -> None:
         """End everything."""
--- a/tests/fleet/test_translators.py
+++ b/tests/fleet/test_translators.py
@@ -126,3 +126,17 @@
         self.assertEqual("served", (await first).how)
         self.assertEqual({"s0": 1, "s1": 0}, self.runs(rig))
         self.check(rig)
+
+    async def test_a_run_whose_end_is_not_known_stays_bound_to_its_server_whoever_owns_it_next(self):
+        rig = await self.fleet(lists={"t0": ["s0"], "t1": ["s1"], "t2": ["s1"]}, limit_s=1.0)
+        one = translated_charge(self.key_of(rig, "t0"))
+        first = asyncio.create_task(rig.charge(one))
+        await self.until(lambda: rig.servers["s0"].requests)
+        rig.wires.all[("all", "s0")].silence()
+        await self.until(lambda: any(asked.how == "failed" for asked in rig.history.asked))
+        await rig.kill("t0")
+        await self.moved(rig, one.key, "t0")
+        rig.wires.heal()
+        self.assertEqual("served", (await first).how)
+        self.assertEqual({"s0": 1, "s1": 0}, self.runs(rig))
+        self.check(rig)
