--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -32,6 +32,7 @@
 
 
 FLEET = ("tests/takeover",)
+TRANSLATORS = ("tests/fleet/test_translators.py",)
 COUNCIL = ("tests/consensus",)
 JOURNAL = ("tests/store/test_journal.py", "tests/recovery/test_effects.py")
 MUTANTS = (
@@ -113,6 +114,28 @@
     Mutant("the token of a command not checked", "sagetrestle/lab/kernel.py",
            "if token[1] < self._epochs.get(token[0], 0) or call in self._fates:", "if False:",
            ("tests/fleet/test_tokens.py",)),
+    Mutant("a server's word taken for proof though it checks no tokens", "sagetrestle/takeover/books.py",
+           "unix, fenced and effect.server != self.me)", "unix)", FLEET),
+    Mutant("a fence of its own epoch taken for proof of its own run", "sagetrestle/takeover/books.py",
+           "unix, fenced and effect.server != self.me)", "unix, fenced)", FLEET),
+    Mutant("a further run that never was frees a key that is bound", "sagetrestle/takeover/books.py",
+           "old.digest and marks(old.digest).bound:", "False:", FLEET),
+    Mutant("own ends forgotten by an owner that comes back", "sagetrestle/takeover/books.py",
+           "decisions += self._own_ends(now, unix, at, copy)", "pass", FLEET),
+    Mutant("an own run of unknown end waited for for ever", "sagetrestle/takeover/books.py",
+           "if one.server != self.me or said.where}", "if one.server != self.me}", FLEET),
+    Mutant("a key recorded twice", "sagetrestle/takeover/books.py",
+           "if copy.table.standing(entry.key, entry.at_us) is not Standing.FREE:", "if False:", FLEET),
+    Mutant("a run of unknown end taken for one that never was", "sagetrestle/net/routing/runs.py",
+           "entry.in_doubt = True", "pass", TRANSLATORS),
+    Mutant("the server of a bound key chosen anew", "sagetrestle/net/routing/fleet.py",
+           "if self._place is not None and not what.bound:", "if self._place is not None:", TRANSLATORS),
+    Mutant("a request sent on without its token", "sagetrestle/net/program/upstream.py",
+           "v2.fencing_token(self.fleet, partition, epoch)\n        self._call", '""\n        self._call', TRANSLATORS),
+    Mutant("only the last owner before waited for", "sagetrestle/ownership/planner.py",
+           "before = share.before if owner == share.owner else SEVERAL", "pass", ("tests/ownership", *FLEET)),
+    Mutant("a handover taken for over at once", "sagetrestle/takeover/node.py",
+           "self.lead.unclear[at] = self._now + self.lead.grantor.span_us", "pass", FLEET),
 )
 
 
--- a/sagetrestle/lab/translators.py
+++ b/sagetrestle/lab/translators.py
@@ -154,7 +154,11 @@
 
     def lose(self, name: str) -> None:
         """Lose a translator's journal, and whatever else was on its disk."""
-        for one in [*(self.folder / name).glob("journal.db*"), *(self.folder / name).glob("council.db*")]:
+        self.spoil(name, "journal.db*", "council.db*")
+
+    def spoil(self, name: str, *files: str) -> None:
+        """Lose some of a translator's files."""
+        for one in [one for file in files for one in (self.folder / name).glob(file)]:
             one.unlink()
 
     async def close(self) -> None:
--- a/sagetrestle/net/program/upstream.py
+++ b/sagetrestle/net/program/upstream.py
@@ -296,10 +296,12 @@
                 return
             if standing is Standing.IN_DOUBT:
                 assert effect is not None
-                if not effect.server:  # nobody could settle it
+                if effect.server:
+                    job = job._replace(in_doubt=(effect.server, effect.boot))
+                elif job.member is None:  # nobody could settle it
                     self._over(job.id, RunEnd.IN_DOUBT)
                     return
-                job = job._replace(in_doubt=(effect.server, effect.boot))
+                # Else the fleet's records, which outlive this journal, say that it never ran.
         self._carry_out(self.keeper.begin(self._now(), job))
 
     def _over(self, id: str, end: RunEnd, result: bytes = b"", retry_after_us: int = 0) -> None:
--- a/tests/fleet/test_translators.py
+++ b/tests/fleet/test_translators.py
@@ -68,6 +68,19 @@
         self.assertEqual({"s0": 1, "s1": 0}, self.runs(rig))
         self.check(rig)
 
+    async def test_a_translator_that_knows_its_journal_to_be_lost_goes_by_the_fleets_records(self):
+        rig = await self.fleet(lists={})
+        await rig.charge(translated_charge(self.key_of(rig, "t0")))
+        await asyncio.sleep(1.5)  # until the journal's mark was written
+        await rig.kill("t0")
+        rig.spoil("t0", "journal.db", "journal.db-*")
+        await rig.begin("t0")
+        self.assertTrue(rig.scorers["t0"].log_has("entries of unknown keys are lost"), rig.scorers["t0"].log)
+        await self.until(lambda: "t0" in {rig.callers[0].router.owner(f"K{at}") for at in range(60)}, 20)
+        one = translated_charge(self.key_of(rig, "t0"))
+        self.assertEqual("served", (await rig.charge(one, give_up_s=3.0)).how)
+        self.check(rig)
+
     async def test_a_charge_at_a_server_is_taken_over_by_one_that_has_the_server_in_no_list(self):
         rig = await self.fleet(lists={"t0": ["s0"], "t1": ["s1"], "t2": ["s1"]})
         one = translated_charge(self.key_of(rig, "t0"))
--- a/tests/takeover/test_books.py
+++ b/tests/takeover/test_books.py
@@ -5,7 +5,7 @@
 from sagetrestle.consensus import core as raft
 from sagetrestle.ownership.values import Arranged, FleetMap, FleetTerms, Founded, Joined, Origin, Place, Share
 from sagetrestle.peers.links import Links
-from sagetrestle.recovery.effects import Entry, Kind, Standing
+from sagetrestle.recovery.effects import EffectError, Entry, Kind, Standing
 from sagetrestle.takeover import books, messages, node
 from sagetrestle.takeover.books import Books, Marks, Resolved, Say, Start, TurnAway, mark
 from sagetrestle.takeover.judge import Word, effect_key, judge
@@ -272,6 +272,92 @@
         self.assertFalse(self.books[A].owns(0, self.now))
 
 
+class SendOnTest(BooksCase):
+    """Owners that send runs on to servers: where a key may yet run goes with it."""
+
+    WHERE = "s0 127.0.0.1 80 1"
+
+    def setUp(self):
+        super().setUp()
+        self.arrange(Share(5, A, (B, C), (), Origin.NEW))
+
+    def run_at(self, id, run="run K", bound=False):
+        what = Marks(run, "paid", "t", "K", b"d", 0, self.WHERE, bound)
+        self.take(id, self.books[id].record(
+            self.now, 0, run, Entry(Kind.INTENT, "K", self.now, id, 0, mark(what))))
+
+    def say(self, id, kind, run="run K", epoch=5, fenced=True):
+        self.take(id, self.books[id].fate(self.now, 0, epoch, run, kind, b"r", self.now, fenced))
+
+    def asked(self, id):
+        return [(one.epoch, one.what.where) for one in self.done[id] if isinstance(one, books.Inquire)]
+
+    def before(self, id):
+        kept = self.books[id].before(0, "K")
+        return (kept.where, kept.bound) if kept is not None else None
+
+    def test_marks_keep_a_place_and_read_what_has_none(self):
+        one = Marks("i", "paid", "t", "K", b"\0d!", 3)
+        for what in (one, one._replace(where=self.WHERE), one._replace(where=self.WHERE, bound=True)):
+            self.assertEqual(what, books.marks(mark(what)))
+
+    def test_a_new_owner_asks_the_server_and_frees_the_key_for_others_only_by_a_fenced_word(self):
+        for fenced, kept in ((False, (self.WHERE, True)), (True, ("", False))):
+            with self.subTest(fenced=fenced):
+                self.setUp()
+                self.run_at(A)
+                self.arrange(Share(6, B, (C,), (), Origin.KEPT), knows=(B, C))
+                self.assertEqual([(6, self.WHERE)], self.asked(B))
+                self.say(B, Kind.NEVER, epoch=6, fenced=fenced)
+                self.assertEqual(kept, self.before(B))
+                self.assertEqual(kept, self.before(C))
+
+    def test_a_run_whose_end_its_owner_does_not_know_is_asked_after_and_never_waited_for(self):
+        self.run_at(A)
+        effect = self.books[A].known(0, "K", self.now)
+        self.assertTrue(self.books[A].goes_on(0, effect))
+        self.take(A, self.books[A].doubtful(self.now, self.now, 0, "K"))
+        self.assertFalse(self.books[A].goes_on(0, effect))
+        self.assertEqual([(5, self.WHERE)], self.asked(A))
+        self.say(A, Kind.OUTCOME)
+        self.assertEqual(Standing.DONE, self.standing(A, "K")[0])
+
+    def test_a_fence_of_its_own_epoch_proves_nothing_of_its_own_run(self):
+        self.run_at(A)
+        self.take(A, self.books[A].doubtful(self.now, self.now, 0, "K"))
+        self.say(A, Kind.NEVER)
+        self.assertEqual((self.WHERE, True), self.before(A))
+
+    def test_a_further_run_that_never_was_leaves_the_key_bound_to_the_server_of_the_one_before(self):
+        self.run_at(A)
+        self.take(A, self.books[A].doubtful(self.now, self.now, 0, "K"))
+        self.say(A, Kind.NEVER)
+        self.run_at(A, "run 2", bound=True)
+        self.take(A, self.books[A].ended(self.now, 0, Entry(Kind.NEVER, "K", self.now)))
+        self.assertEqual((self.WHERE, True), self.before(A))
+        self.assertEqual((self.WHERE, True), self.before(B))
+
+    def test_an_owner_that_comes_back_takes_its_own_ends_that_nobody_was_told(self):
+        self.run_at(A)
+        self.arrange(Share(6, B, (A, C), (), Origin.KEPT), knows=(A,))  # B never hears of it
+        self.take(A, self.books[A].ended(self.now, 0, Entry(Kind.OUTCOME, "K", self.now, result=b"r")))
+        self.arrange(Share(7, A, (C,), (), Origin.KEPT), knows=(A, C))
+        self.assertEqual(Standing.DONE, self.standing(A, "K")[0])
+        self.assertEqual(Standing.DONE, self.standing(C, "K")[0])
+
+    def test_an_owner_that_comes_back_asks_after_its_own_run_that_ended_unknown_meanwhile(self):
+        self.run_at(A)
+        self.arrange(Share(6, B, (A, C), (), Origin.KEPT), knows=(A,))
+        self.take(A, self.books[A].doubtful(self.now, self.now, 0, "K"))
+        self.arrange(Share(7, A, (C,), (), Origin.KEPT), knows=(A, C))
+        self.assertEqual([(7, self.WHERE)], self.asked(A))
+
+    def test_a_key_that_is_recorded_is_not_recorded_again(self):
+        self.run_at(A)
+        with self.assertRaises(EffectError):
+            self.run_at(A, "run 2")
+
+
 class NodeTest(unittest.TestCase):
     """A member's lease, and a leader's."""
 
