--- a/sagetrestle/peers/links.py
+++ b/sagetrestle/peers/links.py
@@ -23,7 +23,7 @@
 GREET_US = 1_000_000  # for a welcome
 STALLED_US = 2_000_000  # for an acknowledgement, after which the link is set up anew
 MOST_OBSERVERS = 64
-ACK_AFTER, ACK_WITHIN_US = 64, 50_000  # messages, and how long one may wait: a frame each would double their number
+ACK_AFTER, ACK_WITHIN_US = 64, 250_000  # messages, and how long one may wait: a frame each would double their number
 
 
 class Carry(NamedTuple):
--- a/sagetrestle/takeover/books.py
+++ b/sagetrestle/takeover/books.py
@@ -20,6 +20,7 @@
 from sagetrestle.takeover import messages
 from sagetrestle.takeover.messages import BYTES_A_MESSAGE, ENTRIES_A_MESSAGE, FleetMessage
 
+LATE_US = 50_000  # for which the end of a run may wait for others: a run waits for intents only
 AGAIN_US = 100_000  # until what was not acknowledged is sent again
 ASK_EVERY_US = 1_000_000  # between questions after what an owner before may have run
 INQUIRE_EVERY_US = 250_000  # the same, of servers that do not tell by themselves
@@ -150,6 +151,7 @@
     staged: dict[int, tuple[Entry, ...]] = field(default_factory=dict)
     staged_at: tuple[int, int] = (-1, -1)  # epoch and position of what is staged
     ask_us: int = 0
+    late_us: int = 0  # when ends that wait for company are sent at the latest; 0: none does
     owes: bool = False  # its owner an acknowledgement for which nothing waits
     doubts: dict[str, str] = field(default_factory=dict)  # runs of owners before that may go on, and their keys
     required: dict[str, int] = field(default_factory=dict)  # joining members that nothing starts without, and since
@@ -241,7 +243,8 @@
         except EffectError as error:
             return [Note(f"record not taken: {error}")]
         self._extend(copy, [entry])
-        return self._stream(now, at, copy)
+        copy.late_us = copy.late_us or now + LATE_US
+        return []
 
     def _extend(self, copy: Copy, entries: Iterable[Entry]) -> None:
         for one in entries:
@@ -345,6 +348,7 @@
     def _stream(self, now: int, at: int, copy: Copy) -> list[Decision]:
         """Send each copy what it has not been sent: the epoch's base first, entries, or all of it."""
         said: list[Decision] = []
+        copy.late_us = 0
         for id in copy.share.copies:
             if id not in copy.sent:
                 copy.sent[id], copy.sent_us[id] = -1, now
@@ -611,6 +615,8 @@
                 if copy.owes:
                     found.append(self._acknowledge(at, copy, copy.share.owner))
                 continue
+            if copy.late_us and now >= copy.late_us:
+                found += self._stream(now, at, copy)
             for id in copy.share.copies:
                 found += self._again(now, at, copy, id)
             if now < copy.clear_us:
--- a/sagetrestle/takeover/node.py
+++ b/sagetrestle/takeover/node.py
@@ -28,7 +28,7 @@
 from sagetrestle.takeover import messages
 from sagetrestle.takeover.messages import weight
 
-BUSY_US, IDLE_US, LEAST_US = 25_000, 100_000, 10_000  # between two looks at what time brings
+BUSY_US, IDLE_US, LEAST_US = 50_000, 100_000, 10_000  # between two looks at what time brings
 SYNCED_EVERY_US = 50_000
 PLAN_EVERY_US = 50_000
 SWEEP_EVERY_US = 1_000_000
--- a/tests/fleet/test_translators.py
+++ b/tests/fleet/test_translators.py
@@ -147,6 +147,7 @@
         await self.until(lambda: rig.servers["s0"].requests)
         rig.wires.all[("all", "s0")].silence()
         await self.until(lambda: any(asked.how == "failed" for asked in rig.history.asked))
+        await asyncio.sleep(0.12)  # until its backups know, and before the caller comes again
         await rig.kill("t0")
         await self.moved(rig, one.key, "t0")
         rig.wires.heal()
--- a/tests/takeover/test_books.py
+++ b/tests/takeover/test_books.py
@@ -335,6 +335,7 @@
         self.run_at(A, "run 2", bound=True)
         self.take(A, self.books[A].ended(self.now, 0, Entry(Kind.NEVER, "K", self.now)))
         self.assertEqual((self.WHERE, True), self.before(A))
+        self.passed()  # ends go to the backups in company
         self.assertEqual((self.WHERE, True), self.before(B))
 
     def test_an_owner_that_comes_back_takes_its_own_ends_that_nobody_was_told(self):
