--- /dev/null
+++ b/tests/takeover/explore.py
@@ -0,0 +1,222 @@
+"""All orders of events of a small arrangement: three members, one partition, two keys, owners that follow each other.
+
+The members' records are the product's. Messages on one way come in order, however late, and may be lost; commands lie on
+their way to a kernel for as long as it takes; members learn of a new epoch whenever they do, or from each other. There
+are no leases here: what has to hold does so without them. A state is reached by one order of events or by many; each is
+looked at once.
+"""
+
+import pickle
+from collections import deque
+from typing import NamedTuple
+
+from sagetrestle.ownership.values import FleetMap, FleetTerms, Origin, Place, Share
+from sagetrestle.recovery.effects import EffectError, Entry, Kind, Standing
+from sagetrestle.takeover import books, messages
+
+IDS = ("a@1", "b@1", "c@1")
+PLACES = tuple(Place(id, kernel=f"{id}:1") for id in IDS)
+# Epochs as the planner may give them: each next owner was a backup before.
+TAKEOVERS = (Share(1, IDS[0], IDS[1:], (), Origin.NEW), Share(2, IDS[1], (IDS[2],), (), Origin.KEPT),
+             Share(3, IDS[2], (IDS[1],), (), Origin.KEPT))
+COME_BACK = (Share(1, IDS[0], IDS[1:], (), Origin.NEW), Share(2, IDS[1], (IDS[0],), (), Origin.KEPT),
+             Share(3, IDS[0], (IDS[1],), (), Origin.KEPT))
+
+
+class Bounds(NamedTuple):
+    """How much of each there may be on one way through."""
+
+    keys: int = 2
+    lost: int = 1  # messages
+    ticks: int = 1  # at each member
+    fences: int = 2  # questions to kernels
+
+
+class World:
+    """One state, and what may come next."""
+
+    def __init__(self, shares, bounds):
+        self.shares, self.bounds = shares, bounds
+        self.books = {id: books.Books(id, FleetTerms(partitions=1), 1 << 50) for id in IDS}
+        self.seen = dict.fromkeys(IDS, 0)
+        self.ways = {}  # messages by (from, to)
+        self.commands, self.running, self.questions, self.words = [], [], [], []
+        self.epochs, self.known, self.ran = dict.fromkeys(IDS, 0), {}, {}
+        self.tried, self.lost, self.ticks, self.asked = set(), 0, dict.fromkeys(IDS, 0), 0
+        self.now = 0
+        for id in IDS:
+            self.see(id)
+        while any(self.ways.values()):  # the first epoch has begun
+            for way in sorted(self.ways):
+                if self.ways[way]:
+                    self.deliver(way)
+
+    def actions(self):
+        """Return all that may happen now."""
+        found = [("see", id) for id in IDS if self.seen[id] < len(self.shares)]
+        found += [("deliver", way) for way, line in sorted(self.ways.items()) if line]
+        if self.lost < self.bounds.lost:
+            found += [("lose", way) for way, line in sorted(self.ways.items()) if line]
+        found += [("ask", (id, key)) for id in IDS for key in "KL"[:self.bounds.keys]
+                  if (id, key) not in self.tried and self.owner(id)]
+        found += [(name, at) for name, line in (("start", self.commands), ("finish", self.running),
+                                                ("question", self.questions), ("word", self.words))
+                  for at in range(len(line))]
+        found += [("tick", id) for id in IDS if self.ticks[id] < self.bounds.ticks]
+        return found
+
+    def act(self, name, what):
+        getattr(self, name)(what)
+
+    def owner(self, id):
+        copy = self.books[id].copies.get(0)
+        return copy is not None and copy.share.owner == id and copy.complete and self.books[id].recordable(0)
+
+    def take(self, id, decisions):
+        for what in decisions:
+            match what:
+                case books.Say(to, message) if to in IDS:
+                    self.ways.setdefault((id, to), deque()).append(message)
+                case books.Start(run, token):
+                    self.commands.append((id, run, token))
+                case books.Fence(place, _, epoch, runs):
+                    if self.asked < self.bounds.fences:
+                        self.asked += 1
+                        self.questions.append((id, place.id, epoch, runs))
+
+    # Events
+
+    def see(self, id):
+        self.seen[id] += 1
+        at = self.seen[id]
+        self.take(id, self.books[id].see(self.now, self.now, FleetMap(at, self.shares[at - 1:at], PLACES)))
+
+    def deliver(self, way):
+        sender, id = way
+        message, one = self.ways[way].popleft(), self.books[id]
+        now = self.now
+        match message:
+            case messages.Base():
+                said = one.based(now, now, sender, message)
+            case messages.Records():
+                said = one.records(sender, message)
+            case messages.Recorded():
+                said = one.recorded(now, sender, message)
+            case messages.Chunk():
+                said = one.chunk(sender, message)
+            case messages.Fed():
+                said = one.fed(now, sender, message)
+            case messages.Stale():
+                said = one.stale(now, now, message)
+            case messages.Told():
+                said = one.told(now, now, sender, message)
+            case _:
+                said = []
+        self.take(id, said)
+
+    def lose(self, way):
+        self.lost += 1
+        self.ways[way].popleft()
+
+    def ask(self, what):
+        """Take a caller's try, as the judge does."""
+        id, key = what
+        self.tried.add(what)
+        effect = self.books[id].known(0, key, self.now)
+        if effect is not None and effect.standing is not Standing.FREE:
+            return
+        run = f"{key}-{id}"
+        digest = books.mark(books.Marks(run, "paid", "t", key, b"d"))
+        try:
+            self.take(id, self.books[id].record(self.now, 0, run, Entry(Kind.INTENT, key, self.now, id, 0, digest)))
+        except EffectError:
+            pass
+
+    def start(self, at):
+        """Have a kernel take a command."""
+        id, run, (_, epoch, _) = self.commands.pop(at)
+        if epoch < self.epochs[id] or self.known.get((id, run)) == "never":
+            return
+        self.epochs[id] = epoch
+        self.known[(id, run)] = "running"
+        key = run[0]
+        self.ran[key] = (*self.ran.get(key, ()), f"{run} in epoch {epoch}")
+        self.running.append((id, run))
+
+    def finish(self, at):
+        id, run = self.running.pop(at)
+        self.known[(id, run)] = "done"
+        self.take(id, self.books[id].ended(self.now, 0, Entry(Kind.OUTCOME, run[0], self.now, result=run.encode())))
+        for one in [one for one in self.questions if one[1] == id and run in one[3]]:
+            self.answer(one, run)
+
+    def question(self, at):
+        """Have a kernel hear of an epoch and answer for the runs, as it answers for those that still run later."""
+        one = self.questions.pop(at)
+        _, kernel, epoch, runs = one
+        if epoch < self.epochs[kernel]:
+            return
+        self.epochs[kernel] = epoch
+        for run in runs:
+            if (kernel, run) not in self.known:
+                self.known[(kernel, run)] = "never"
+            if self.known[(kernel, run)] != "running":
+                self.answer(one, run)
+
+    def answer(self, one, run):
+        self.words.append((one[0], one[2], run, self.known[(one[1], run)]))
+
+    def word(self, at):
+        id, epoch, run, how = self.words.pop(at)
+        kind = Kind.OUTCOME if how == "done" else Kind.NEVER
+        self.take(id, self.books[id].fate(self.now, 0, epoch, run, kind, run.encode() if how == "done" else b"",
+                                          self.now))
+
+    def tick(self, id):
+        self.ticks[id] += 1
+        self.now += books.AGAIN_US
+        self.take(id, self.books[id].passed(self.now, self.now))
+
+    # What has to hold
+
+    def broken(self):
+        """Return what is wrong in this state."""
+        for key, runs in self.ran.items():
+            if len(runs) > 1:
+                return f"{key} ran as {' and as '.join(runs)}"
+        newest = max(one.copies[0].share.epoch for one in self.books.values() if 0 in one.copies)
+        for id, one in self.books.items():
+            for key in self.ran if self.owner(id) and one.copies[0].share.epoch == newest else ():
+                effect = one.known(0, key, self.now)
+                if (effect is None or effect.standing is Standing.FREE):
+                    return f"{id} owns {key}, which ran, and holds it to be free"
+        return ""
+
+
+class Found(NamedTuple):
+    """What a search came to; ``whole``: there was no state left that was not looked at."""
+
+    states: int
+    whole: bool
+    broken: str = ""
+    path: tuple = ()
+
+
+def search(shares, bounds=Bounds(), most=5_000):
+    """Look at states breadth first, each once, up to so many."""
+    first = pickle.dumps(World(shares, bounds))
+    line, known = deque([(first, ())]), {hash(first)}
+    while line:
+        data, path = line.popleft()
+        for action in pickle.loads(data).actions():
+            world = pickle.loads(data)
+            world.act(*action)
+            if wrong := world.broken():
+                return Found(len(known), False, wrong, (*path, action))
+            after = pickle.dumps(world)
+            if hash(after) not in known:
+                known.add(hash(after))
+                line.append((after, (*path, action)))
+        if len(known) >= most:
+            return Found(len(known), False)
+    return Found(len(known), True)
