Spending caps for the whole fleet: allowances by escrow, granted by the owner of the tenant's partition

Need: each process counted its own, so N processes allowed N caps (the first test: 40 charges of a cap of 12 at three members ran). Now, where fleet.toml says caps, a keyed run takes a unit of its tenant's limit at the gate. The owner of the tenant's partition grants parts of it, each recorded at all backups before it is told, so the next owner knows them. What is out counts as spent until its holder gives it back; a holder lowers its total before it says so and raises it only by a newer version.

--- a/sagetrestle/lab/processes.py
+++ b/sagetrestle/lab/processes.py
@@ -24,6 +24,7 @@
 from sagetrestle.lab.routed import RoutedSender, RouterChooser
 from sagetrestle.lab.scorer import ROOT, ScorerProcess
 from sagetrestle.lab.fleet import reactor_here
+from sagetrestle.lab.signer import LabSigner, identity_toml
 from sagetrestle.net.program.discovery import MembershipHost
 
 GIVE_UP_S = 8.0  # how long a caller goes on with a charge, from its first try
@@ -60,9 +61,10 @@
 
     def __init__(self, folder: Path, size: int, place: Place, fronts: int = 2, seed: int = 1,
                  root: Path = ROOT, fleet: dict[str, Any] | None = None, council: int = 3, zones: int = 1,
-                 relays: bool = True) -> None:
+                 relays: bool = True, tenants: str = "") -> None:
         super().__init__(folder, size, place, seed=seed)
         self._fronts, self._root, self._fleet, self._zones = fronts, root, fleet, zones
+        self._tenants = tenants  # the tenants' file, by which front ends stand for tenants; empty: identity is off
         self.names = [f"n{at}" for at in range(size)]
         self._direct = {} if relays else dict(zip(self.names, free_ports(size), strict=True))
         self.council = self.names[:council]
@@ -144,6 +146,10 @@
     def _scorer(self, name: str, home: Path) -> ScorerProcess:
         machine = self.machines[name]
         files = {"discovery.toml": self.publishing()}
+        if self._tenants:
+            LabSigner(self.folder)
+            (self.folder / "tenants.toml").write_text(self._tenants)
+            files["identity.toml"] = identity_toml(self.folder)
         if self._fleet is not None:
             files["fleet.toml"] = self._fleet_toml(name)
         return ScorerProcess(home, machine.kernel, self.place.settings(), files, name,
--- a/sagetrestle/net/program/fleet.py
+++ b/sagetrestle/net/program/fleet.py
@@ -20,6 +20,7 @@
 from sagetrestle.net.protocol.fences import Fates
 from sagetrestle.net.routing.fleet import HANDLERS, FateTold, Fleet, SeatTaken, StoreDone, join_fleet
 from sagetrestle.net.routing.inputs import FromFleet, Input
+from sagetrestle.net.routing.caps import join_caps
 from sagetrestle.net.routing.keys import MARGIN_US
 from sagetrestle.net.routing.state import State
 from sagetrestle.net.transport.peer_link import KernelAsker, PeerLinks
@@ -72,6 +73,7 @@
     moves: Annotated[int, msgspec.Meta(ge=1, le=4_096)] = 8
     lost_after_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 5_000
     kernel_fences: bool = False
+    caps: bool = False
     new: bool = False
 
 
@@ -88,7 +90,7 @@
         """Return the terms of ownership."""
         file = self.file
         return FleetTerms(file.partitions, file.backups, file.least_backups, file.lease_ms * MS, file.clock_drift,
-                          file.moves, file.lost_after_ms * MS, file.new)
+                          file.moves, file.lost_after_ms * MS, file.clocks_apart_ms * MS, file.new)
 
     def raft(self) -> raft.Terms:
         """Return the terms of the council."""
@@ -163,6 +165,8 @@
     def join(self, state: State, handlers: dict[type, Any]) -> None:
         """Have the core reach the member."""
         handlers |= HANDLERS
+        if self._config.file.caps and state.guard is not None:
+            join_caps(state, self.node)
         join_fleet(state, Fleet(self.node, self._upstream.place if self._upstream is not None else None))
 
     def listen(self) -> tuple[str, int]:
--- /dev/null
+++ b/sagetrestle/net/routing/caps.py
@@ -0,0 +1,97 @@
+"""Tenants' spending caps for the whole fleet, before a keyed run: a unit of the tenant's limit is taken for each.
+
+What a member may spend alone is the holder's to say (``quota``); here that becomes starts, waits and denials. Loaded
+only where ``deploy/fleet.toml`` asks for it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sagetrestle.identity.values import Cause
+from sagetrestle.interface import Outcome, RunEnded
+from sagetrestle.net.routing.actions import through_gate
+from sagetrestle.net.routing.gate import Word as Pass
+from sagetrestle.net.routing.state import Entry, Phase, State
+from sagetrestle.net.routing.turn import Turn
+from sagetrestle.net.routing.values import Answer, Denied, Request
+from sagetrestle.quota import Limit, Word
+
+if TYPE_CHECKING:
+    from sagetrestle.identity.guard import Guard
+    from sagetrestle.identity.tenants import Cap
+    from sagetrestle.takeover.node import Node
+
+
+class Caps:
+    """A judge of the gate."""
+
+    def __init__(self, member: Node, guard: Guard) -> None:
+        self._node, self._guard = member, guard
+        member.cap_of = lambda tenant: cap.charges if (cap := self._cap(tenant)) is not None else None
+        self._waiting: dict[str, dict[str, Limit]] = {}  # tries that wait for a unit, by limit
+
+    def _cap(self, tenant: str) -> Cap | None:
+        found = self._guard.snapshot.directory.tenants.get(tenant)
+        return found.cap if found is not None else None
+
+    def judge(self, turn: Turn, entry: Entry) -> Pass:
+        """Take a unit for a try that is to run; it waits for one, or is denied with the end of the window."""
+        cap = self._cap(entry.request.tenant)
+        if cap is None or entry.unit is not None:
+            return Pass.START
+        id, unix = entry.request.id, turn.unix()
+        limit = Limit.at(entry.request.tenant, cap.window_us, unix)
+        word, decisions = self._node.take_unit(turn.now, unix, limit, cap.charges, id)
+        turn.state.fleet.perform(turn, decisions)
+        if word is Word.TAKEN:
+            entry.unit = limit
+            return Pass.START
+        if word is Word.WAIT:
+            self._waiting.setdefault(limit.name, {})[id] = limit
+            return Pass.WAIT
+        turn.log(f"request {id} of tenant {limit.tenant} denied: {Cause.SPENT.value}, over the fleet",
+                 request=id, tenant=limit.tenant, cause=Cause.SPENT.name.lower())
+        turn.answer(entry, Denied(Cause.SPENT, limit.until_us - unix))
+        turn.events.append(RunEnded(id, Outcome.ERROR))
+        turn.over(entry)
+        return Pass.OVER
+
+    def ready(self, turn: Turn, limit: Limit) -> None:
+        """Ask again for what waited."""
+        for id in self._waiting.pop(limit.name, ()):
+            entry = turn.state.entries.get(id)
+            if entry is not None and entry.phase is Phase.WAITING and entry.owed:
+                through_gate(turn, entry)
+
+    def join(self, turn: Turn, entry: Entry) -> bool:
+        """Have nothing wait for another's run."""
+        return False
+
+    def wait(self, by: str, id: str) -> bool:
+        """Have nothing wait for another's run."""
+        return False
+
+    def door(self, turn: Turn, request: Request) -> Answer | None:
+        """Know no answer."""
+        return None
+
+    def over(self, turn: Turn, entry: Entry) -> None:
+        """Give the unit of a try back that is known never to have run."""
+        id = entry.request.id
+        for name, line in self._waiting.items():
+            if line.pop(id, None) is not None:
+                self._node.units.forget(Limit.named(name), id)
+        if entry.unit is None:
+            return
+        keys = turn.state.keys
+        ran = entry.in_doubt or keys.ran_id(entry.request) == id or keys.result(id) is not None
+        if not (entry.ran and ran):
+            self._node.units.give_back(entry.unit)
+        entry.unit = None
+
+
+def join_caps(state: State, member: Node) -> None:
+    """Have caps heard first before a keyed run: what is denied needs no record."""
+    assert state.guard is not None
+    state.gate.judges.append(Caps(member, state.guard))
--- a/sagetrestle/net/routing/fleet.py
+++ b/sagetrestle/net/routing/fleet.py
@@ -15,6 +15,7 @@
 from sagetrestle.interface import Gone, Outcome, RunEnded
 from sagetrestle.net.routing import inputs
 from sagetrestle.net.routing.actions import through_gate
+from sagetrestle.net.routing.caps import Caps
 from sagetrestle.net.routing.effects import ToFleet
 from sagetrestle.net.routing.gate import Word as Pass
 from sagetrestle.net.routing.keys import LATE_READ_US, MARGIN_US
@@ -68,6 +69,7 @@
     def __init__(self, member: node.Node, place: Callable[[str, str, str], str] | None = None) -> None:
         self.node, self._place = member, place
         self._due_us = self._look_us = 0
+        self.caps: Caps
         self._not_yet: dict[str, None] = {}  # tries that wait until this member may act, in their order
         self._asked: dict[str, list[str]] = {}  # runs of owners before, and the tries that wait for their ends
 
@@ -286,6 +288,8 @@
                     turn.log(text)
                 case node.Changed():
                     self._changed(turn)
+                case node.Units(limit):
+                    self.caps.ready(turn, limit)
                 case _:
                     turn.effects.append(ToFleet(what))
 
@@ -362,6 +366,9 @@
 def join_fleet(state: State, fleet: Fleet) -> None:
     """Have the fleet reached by the core, and heard before a keyed run."""
     state.fleet = fleet
+    for one in state.gate.judges:
+        if isinstance(one, Caps):
+            fleet.caps = one
     state.gate.judges.append(fleet)
 
 
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -19,6 +19,7 @@
     from sagetrestle.identity.guard import Guard
     from sagetrestle.net.routing.fleet import Fleet
     from sagetrestle.net.routing.handover import Pair
+    from sagetrestle.quota import Limit
 
 
 class Phase(Enum):
@@ -54,6 +55,7 @@
     recorded: bool = False  # at the backups, where the fleet is on
     token: tuple[int, int, str] | None = None  # partition, epoch, owner
     place: str = ""  # the server that its record names, where runs are sent on
+    unit: Limit | None = None  # that a unit was taken of, for the whole fleet
     in_doubt: bool = False  # its run is over, and nobody knows how
     pausing: bool = False
     resent: list[CommandKind] = field(default_factory=list)  # written twice, so that one may be rejected
--- a/sagetrestle/recovery/effects.py
+++ b/sagetrestle/recovery/effects.py
@@ -25,6 +25,7 @@
     OUTCOME = "outcome"  # ran, with this result
     NEVER = "never"  # proven never to have run; the key is free
     FAILED = "failed"  # ran, and failed: a repeat gets the failure
+    GRANT = "grant"  # so much of a limit is out at a member: no effect's, and in a fleet's records only
     LOST = "lost"  # an entry that can not be read stood here; without a key it may have been any key's
 
 
@@ -97,12 +98,15 @@
 class EffectTable:
     """All keys within their window; ``window_us`` is how long a key may come again.
 
-    ``lost_us`` is when an entry was found lost whose key is not known, if one was.
+    ``lost_us`` is when an entry was found lost whose key is not known, if one was. ``grants`` are allowances by limit
+    and holder; none that was given before ``grants_lost_us`` is known.
     """
 
     window_us: int
     effects: dict[str, Effect] = field(default_factory=dict)
     lost_us: int | None = None
+    grants: dict[str, dict[str, Entry]] = field(default_factory=dict)
+    grants_lost_us: int | None = None
 
     def standing(self, key: str, now_us: int) -> Standing:
         """Return how a key stands now."""
@@ -123,6 +127,9 @@
         if entry.kind is Kind.LOST and not entry.key:
             self._lose_any(entry.at_us)
             return None
+        if entry.kind is Kind.GRANT:
+            self._grant(entry)
+            return None
         old = self.get(entry.key, entry.at_us)
         standing = FOLLOWS.get((old.standing if old else Standing.FREE, entry.kind))
         if standing is None:
@@ -152,8 +159,19 @@
     def _lose_any(self, at_us: int) -> None:
         """Take that an entry of any key was lost: only keys that came to an end are as they were."""
         self.lost_us = max(at_us, self.lost_us or 0)
+        self.grants_lost_us = max(at_us, self.grants_lost_us or 0)
         self.effects = {key: one for key, one in self.effects.items() if one.standing in SETTLED}
 
+    def _grant(self, entry: Entry) -> None:
+        """Take that an allowance is out: ``server`` holds it, ``boot`` is its version, the result its units.
+
+        It is forgotten at ``at_us``. Without a key it says that those from before then are not known.
+        """
+        if entry.key:
+            self.grants.setdefault(entry.key, {})[entry.server] = entry
+        else:
+            self.grants_lost_us = max(entry.at_us, self.grants_lost_us or 0)
+
     def in_doubt(self, now_us: int) -> list[Effect]:
         """Return what is in doubt by name, the oldest first."""
         found = [one for one in self.effects.values()
@@ -166,6 +184,9 @@
         entries = []
         if self.lost_us is not None and not self._over(self.lost_us, now_us):
             entries.append(Entry(Kind.LOST, "", self.lost_us))
+        if self.grants_lost_us is not None:
+            entries.append(Entry(Kind.GRANT, "", self.grants_lost_us))
+        entries += [one for rows in self.grants.values() for one in rows.values() if one.at_us >= now_us]
         for one in self.effects.values():
             if self._over(one.at_us, now_us):
                 continue
@@ -182,6 +203,8 @@
             del self.effects[key]
         if self.lost_us is not None and self._over(self.lost_us, now_us):
             self.lost_us = None
+        for key in [key for key, rows in self.grants.items() if all(one.at_us < now_us for one in rows.values())]:
+            del self.grants[key]
         return len(gone)
 
     def _over(self, at_us: int, now_us: int) -> bool:
--- a/sagetrestle/takeover/books.py
+++ b/sagetrestle/takeover/books.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 from sagetrestle.ownership.values import SEVERAL, FleetMap, FleetTerms, Origin, Place, Share
+from sagetrestle.quota import Limit, Row, decide
 from sagetrestle.recovery.effects import Effect, EffectError, EffectTable, Entry, Kind, Standing
 from sagetrestle.takeover import messages
 from sagetrestle.takeover.messages import BYTES_A_MESSAGE, ENTRIES_A_MESSAGE, FleetMessage
@@ -28,6 +29,7 @@
 MOST_LOSSES = 2  # owners that one key may cost
 CHUNKS_OUT = 4  # chunks of a transfer that are not acknowledged
 MOST_PLACES = 1_000
+GRANTS_KEPT_US = 120_000_000  # after a window by all clocks, for holders that are late
 MOST_TOLD = 100_000  # ends of runs that an owner after this one has yet to take
 
 
@@ -146,7 +148,7 @@
     sent: dict[str, int] = field(default_factory=dict)  # the position up to which was sent
     sent_us: dict[str, int] = field(default_factory=dict)
     transfers: dict[str, Transfer] = field(default_factory=dict)
-    asks: deque[tuple[int, str]] = field(default_factory=deque)  # tries that wait for their record, by position
+    asks: deque[tuple[int, str | Say]] = field(default_factory=deque)  # what waits for a record, by position
     clear_us: int = 0  # until then the owner before may not know that it is over
     staged: dict[int, tuple[Entry, ...]] = field(default_factory=dict)
     staged_at: tuple[int, int] = (-1, -1)  # epoch and position of what is staged
@@ -246,6 +248,33 @@
         copy.late_us = copy.late_us or now + LATE_US
         return []
 
+    def units(self, now: int, unix: int, sender: str, ask: messages.AskUnits, cap: int,
+              apart_us: int) -> list[Decision]:
+        """Decide on a holder's part of a limit; it is told once all backups have the record.
+
+        ``cap`` is the limit as this member knows it, ``apart_us`` how far clocks may be apart: windows that another
+        clock may still be in are granted of, those that are over by all clocks are not.
+        """
+        copy, limit = self.copies[ask.partition], Limit.named(ask.limit)
+        rows = {holder: Row(one.boot, int(one.result)) for holder, one in copy.table.grants.get(ask.limit, {}).items()}
+        over = unix > limit.until_us + apart_us
+        lost = copy.table.grants_lost_us
+        unknown = lost is not None and limit.since_us <= lost + apart_us
+        wanted = 0 if over or unknown else ask.wanted
+        row, left = decide(rows, sender, ask.version, ask.total, wanted, min(cap, ask.cap), len(self.map.places))
+        decisions: list[Decision] = []
+        if row != rows.get(sender, Row()):
+            entry = Entry(Kind.GRANT, ask.limit, limit.until_us + 2 * apart_us + GRANTS_KEPT_US, sender, row.version,
+                          result=b"%d" % row.total)
+            copy.table.take(entry)
+            self._extend(copy, [entry])
+        told = messages.ToldUnits(ask.limit, row.version, row.total, 0 if over or unknown else left)
+        copy.asks.append((copy.at, Say(sender, told)))
+        if ask.wanted and left <= 0:
+            decisions += [Say(holder, messages.RecallUnits(ask.limit)) for holder, one in rows.items()
+                          if holder != sender and one.total]
+        return [*decisions, *self._stream(now, ask.partition, copy), *self._started(copy, ask.partition)]
+
     def _extend(self, copy: Copy, entries: Iterable[Entry]) -> None:
         for one in entries:
             copy.tail.append(one)
@@ -285,7 +314,7 @@
             return self._own(now, unix, at, copy, old)
         decisions: list[Decision] = []
         if old.owner == self.me and old is not share:
-            decisions += [TurnAway(id, share.owner) for _, id in copy.asks]
+            decisions += [TurnAway(what, share.owner) for _, what in copy.asks if isinstance(what, str)]
             # Ends that it took as the owner, and that the next one may not have: those are to be told.
             first = copy.at - len(copy.tail) + 1
             for place, entry in enumerate(copy.tail, first):
@@ -395,7 +424,8 @@
         everywhere = min((copy.acked.get(id, -1) for id in (*backups, *copy.required)), default=copy.at)
         found: list[Decision] = []
         while copy.asks and copy.asks[0][0] <= everywhere:
-            found.append(Start(copy.asks.popleft()[1], (at, copy.share.epoch, self.me)))
+            what = copy.asks.popleft()[1]
+            found.append(Start(what, (at, copy.share.epoch, self.me)) if isinstance(what, str) else what)
         return found
 
     def recorded(self, now: int, sender: str, what: messages.Recorded) -> list[Decision]:
@@ -651,6 +681,14 @@
         for copy in self.copies.values():
             copy.table.sweep(unix)
 
+    def granted(self) -> list[dict[str, object]]:
+        """Return what is out of the limits that are granted here, in plain values."""
+        return [{"limit": Limit.named(name).tenant, "until": Limit.named(name).until_us // 1_000_000,
+                 "out": {holder: int(one.result) for holder, one in rows.items()},
+                 "unknown_before": copy.table.grants_lost_us}
+                for copy in self.copies.values() if copy.share.owner == self.me
+                for name, rows in copy.table.grants.items()]
+
     def in_doubt(self, unix: int) -> list[tuple[int, Effect]]:
         """Return what is in doubt in the partitions owned here."""
         return [(at, effect) for at, copy in self.copies.items() if copy.share.owner == self.me
--- a/sagetrestle/takeover/messages.py
+++ b/sagetrestle/takeover/messages.py
@@ -122,6 +122,32 @@
     key: str
 
 
+class AskUnits(msgspec.Struct, frozen=True, array_like=True, tag="ask-units"):
+    """A holder tells the granter of a limit what it keeps of it, and how much more it wants."""
+
+    partition: int
+    limit: str
+    cap: int
+    version: int
+    total: int
+    wanted: int
+
+
+class ToldUnits(msgspec.Struct, frozen=True, array_like=True, tag="told-units"):
+    """The granter tells a holder its part, and what is left of the cap; all backups have its record."""
+
+    limit: str
+    version: int
+    total: int
+    left: int
+
+
+class RecallUnits(msgspec.Struct, frozen=True, array_like=True, tag="recall-units"):
+    """The granter asks a holder for what it has not spent."""
+
+    limit: str
+
+
 class AskSeen(msgspec.Struct, frozen=True, array_like=True, tag="ask-seen"):
     """A new owner asks the one before whether it knows that its epoch is over."""
 
@@ -137,7 +163,7 @@
 
 
 FleetMessage = (Council | Renew | Granted | Elsewhere | MapTold | Synced | Base | Records | Recorded | Chunk | Fed
-                | Stale | Told | Thanks | AskSeen | Seen)
+                | Stale | Told | Thanks | AskUnits | ToldUnits | RecallUnits | AskSeen | Seen)
 
 
 def weight(message: FleetMessage) -> int:
--- a/sagetrestle/takeover/node.py
+++ b/sagetrestle/takeover/node.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -22,6 +22,11 @@
 )
 from sagetrestle.peers import links as link
 from sagetrestle.peers.frames import Answer, Ask
+from sagetrestle.quota import Ask as UnitAsk
+from sagetrestle.quota import Limit
+from sagetrestle.quota.holder import Holder as UnitHolder
+from sagetrestle.quota.holder import Word as UnitWord
+from sagetrestle.quota.values import key_of
 from sagetrestle.recovery.effects import Entry
 from sagetrestle.recovery.effects import Kind as EntryKind
 from sagetrestle.takeover import books as book
@@ -50,13 +55,19 @@
     why: str
 
 
+class Units(NamedTuple):
+    """What waited for units of this limit may ask again."""
+
+    limit: Limit
+
+
 class Changed(NamedTuple):
     """The map is another."""
 
     map: FleetMap
 
 
-Decision = (link.Dial | link.Write | link.Close | Persist | Forget | Changed | book.Start | book.TurnAway
+Decision = (link.Dial | link.Write | link.Close | Persist | Forget | Changed | Units | book.Start | book.TurnAway
             | book.Resolved | book.Fence | book.Inquire | book.Note)
 
 
@@ -83,6 +94,8 @@
         self.me = place.id
         self.books = book.Books(self.me, terms, window_us)
         self.holder = Holder(terms.lease_us)
+        self.units = UnitHolder()
+        self.cap_of: Callable[[str], int | None] = lambda tenant: None  # as this member knows it; None: it does not
         self.seat = seat
         self.agreed = FleetMap()  # as the council's log has it here
         self.leader = council[0]
@@ -142,6 +155,7 @@
             self._synced_us = now + SYNCED_EVERY_US
             if found := self.books.synced():
                 self._say(self.leader, messages.Synced(found))
+            self._ask_units(self.units.passed(now, unix))
         if now >= self._sweep_us:
             self._sweep_us = now + SWEEP_EVERY_US
             self.books.sweep(unix)
@@ -183,6 +197,14 @@
         self._books(self.books.ended(now, at, entry))
         return self._done()
 
+    def take_unit(self, now: int, unix: int, limit: Limit, cap: int, id: str) -> tuple[UnitWord, list[Decision]]:
+        """Take a unit of a hard limit for a charge, or have one asked for."""
+        self._at(now, unix)
+        word = self.units.take(now, limit, cap, id)
+        if word is UnitWord.WAIT:
+            self._ask_units(self.units.ask(now, limit))
+        return word, self._done()
+
     def doubtful(self, now: int, unix: int, at: int, effect_key: str) -> list[Decision]:
         """Take that a run of one's own is over, and that its end is not known."""
         self._at(now, unix)
@@ -269,6 +291,12 @@
                 self._books(books.told(now, unix, sender, message))
             case messages.Thanks():
                 books.thanked(message)
+            case messages.AskUnits():
+                self._asked_units(sender, message)
+            case messages.ToldUnits():
+                self._told_units(message)
+            case messages.RecallUnits(limit):
+                self._ask_units(self.units.recalled(now, limit))
             case messages.AskSeen():
                 self._books(books.ask_seen(now, unix, sender, message))
             case messages.Seen():
@@ -286,6 +314,27 @@
         for connection in self.links.observers():
             self._links(self.links.reply(connection, link.Carry(known.version, messages.MapTold(known))))
 
+    # Limits
+
+    def _ask_units(self, asks: Iterable[UnitAsk]) -> None:
+        for ask in asks:
+            if self.books.map.shares:
+                at, share = self.books.share_of(key_of(ask.limit.tenant))
+                self._say(share.owner, messages.AskUnits(at, ask.limit.name, ask.cap, *ask[2:]))
+
+    def _asked_units(self, sender: str, ask: messages.AskUnits) -> None:
+        """Decide as the granter, which only the owner of its partition is, and only under its lease."""
+        at = ask.partition
+        if not self.owns(at, self._now) or not self.books.recordable(at):
+            return  # it is asked again, or another is
+        known = self.cap_of(Limit.named(ask.limit).tenant)
+        self._books(self.books.units(self._now, self._unix, sender, ask, ask.cap if known is None else known,
+                                     self.terms.apart_us))
+
+    def _told_units(self, what: messages.ToldUnits) -> None:
+        for one in self.units.told(self._now, what.limit, what.version, what.total, what.left):
+            self._out.append(Units(one.limit))
+
     # The lease
 
     def _renew(self) -> None:
@@ -480,6 +529,11 @@
             "epochs": [min((one.epoch for one in known.shares), default=0),
                        max((one.epoch for one in known.shares), default=0)],
             "taken_over": self.books.taken_over, "adopted": self.books.adopted, "freed": self.books.freed,
+            "limits": [{"limit": one.limit.tenant, "window_s": one.limit.window_us // 1_000_000,
+                        "until": one.limit.until_us // 1_000_000, "cap": one.cap, "may_spend": one.total,
+                        "spent": one.used, "waiting": len(one.waiting)}
+                       for one in list(self.units.accounts.values())[:100]],
+            "granted": self.books.granted()[:100],
             "in_doubt": [book.marks(one.digest).key for _, one in self.books.in_doubt(unix)][:100],
             "links": {name: {"up": out.peer, "sent": out.sent, "unacknowledged": out.bytes_out,
                              "dropped": out.dropped, "phi": round(self.links.detectors[name].phi(now), 1)}
--- /dev/null
+++ b/tests/fleet/test_caps.py
@@ -0,0 +1,73 @@
+"""Spending caps for the whole fleet, against each process's own: several processes, and faults between them."""
+
+import asyncio
+
+from sagetrestle.lab.processes import charge
+from tests.fleet.helpers import RigCase
+
+CAP = 12
+TENANTS = f"""version = 1
+[tenants.t]
+rights = ["*"]
+front_ends = [1]
+cap = {{ charges = {CAP}, window_s = 604800 }}
+"""
+
+
+class CapsCase(RigCase):
+    """Charges of one tenant at all members."""
+
+    async def capped(self, size=3, caps=True, **more):
+        return await self.rig(size, tenants=TENANTS, fleet={"partitions": 8, "new": True, "caps": caps}, **more)
+
+    async def spend(self, rig, first, last, give_up_s=2.0):
+        """Ask for charges at once, and return how each ended."""
+        return [one.how for one in await asyncio.gather(*(
+            rig.charge(charge(f"K{at}"), at, give_up_s) for at in range(first, last)))]
+
+    def runs(self, rig):
+        found = rig.finished().check()
+        self.assertEqual([], found.broken, found.line())
+        return len(rig.history.ran)
+
+    def granter(self, rig):
+        return rig.callers[0].router.router.owner("cap\0t")
+
+
+class BaselineTest(CapsCase):
+    """Each process by itself."""
+
+    async def test_caps_of_each_process_allow_as_many_caps(self):
+        rig = await self.capped(caps=False)
+        await self.spend(rig, 0, 40, 0.5)
+        self.assertGreater(self.runs(rig), CAP)
+
+
+class CapsTest(CapsCase):
+    """One number for the fleet."""
+
+    async def test_a_cap_asked_for_at_every_member_at_once_is_met_and_not_passed(self):
+        rig = await self.capped()
+        hows = await self.spend(rig, 0, 40)
+        self.assertEqual(CAP, hows.count("served"))
+        self.assertEqual(CAP, self.runs(rig))
+
+    async def test_a_new_granter_knows_what_the_one_before_it_granted(self):
+        rig = await self.capped(4)
+        self.assertEqual(5, (await self.spend(rig, 0, 5)).count("served"))
+        granter = self.granter(rig)
+        await rig.kill(granter)
+        await self.until(lambda: all(one.router.router.owner("cap\0t") not in ("", granter) for one in rig.callers))
+        await self.spend(rig, 5, 30, 3.0)
+        self.assertLessEqual(self.runs(rig), CAP)
+        self.assertGreater(self.runs(rig), 5)
+
+    async def test_a_member_cut_off_spends_what_it_holds_and_nobody_else_does(self):
+        rig = await self.capped(4)
+        await self.spend(rig, 0, 4)
+        lonely = next(name for name in rig.names if name not in (self.granter(rig), *rig.council))
+        rig.links.cut([lonely], [name for name in rig.names if name != lonely])
+        await self.spend(rig, 4, 24, 1.2)
+        rig.links.heal()
+        await self.spend(rig, 24, 44, 3.0)
+        self.assertEqual(CAP, self.runs(rig))
--- /dev/null
+++ b/tests/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet's limits."""
--- a/tests/takeover/test_fleet_model.py
+++ b/tests/takeover/test_fleet_model.py
@@ -62,6 +62,16 @@
                 served += len(world.served)
         self.assertGreater(served, 0.55 * asked, (served, asked))
 
+    def test_no_tenant_spends_more_than_its_cap_and_most_of_it_can_be_spent(self):
+        ran = 0
+        for seed in range(8):
+            with self.subTest(seed):
+                world = World(seed, cap=60)
+                self.assertTrue(world.run(15, world.ready))
+                self.campaign(world)
+                ran += len(world.ran)
+        self.assertGreater(ran, 0.5 * 8 * 60)
+
     def campaign(self, world, steps=40):
         """Trouble while charges come; then all heals, and full service has to return."""
         rng, number, world.faults = world.rng, 0, 0
