--- a/sagetrestle/cli/fleet.py
+++ b/sagetrestle/cli/fleet.py
@@ -108,6 +108,34 @@
             click.echo(f"in doubt at {one['member']}: {key}")
 
 
+@fleet.command()
+@FILE
+@JSON
+def limits(path: Path, as_json: bool) -> None:
+    """Show tenants' limits over the fleet: what each member may spend alone, what is out, and what that locks up.
+
+    Read from the members, changes nothing. At worst a limit's members that do not answer have spent all they hold.
+    """
+    found = {name: one for name, one in ask_all(path, "status").items() if one is not None and "limits" in one}
+    if as_json:
+        click.echo(json.dumps({name: {what: one[what] for what in ("limits", "granted")} for name, one in
+                               found.items()}, indent=1))
+        return
+    for name, one in found.items():
+        for row in one["granted"]:
+            out = ", ".join(f"{holder} {units}" for holder, units in sorted(row["out"].items()))
+            click.echo(f"{row['limit']}, window until {_clock(row['until'])}: {sum(row['out'].values())} out, "
+                       f"granted by {name}: {out}")
+    for name, one in found.items():
+        for row in one["limits"]:
+            click.echo(f"  {name}: {row['limit']}, window until {_clock(row['until'])}: {row['spent']} of "
+                       f"{row['may_spend']} spent, cap {row['cap']}, {row['waiting']} wait")
+
+
+def _clock(unix: int) -> str:
+    return time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(unix))
+
+
 @fleet.command()
 @click.argument("key")
 @FILE
--- a/sagetrestle/lab/campaign.py
+++ b/sagetrestle/lab/campaign.py
@@ -24,6 +24,13 @@
            LabClass("paid-check", 0.008, 0, 0.5, 4.0, 5.0, worth=4.0, charge=True))
 WINDOW_US = 30_000_000
 GIVE_UP_S = 20.0  # of a window of 30 s, from the first try
+CAPPED_GIVE_UP_S = 6.0  # where many are not to be served
+TENANTS = """version = 1
+[tenants.t]
+rights = ["*"]
+front_ends = [1]
+cap = {{ charges = {}, window_s = 604800 }}
+"""
 FLEET = {"partitions": 16, "new": True}
 
 
@@ -35,9 +42,15 @@
     findings: Findings
     faults: Counter[str] = field(default_factory=Counter)
     took_s: list[float] = field(default_factory=list)
+    cap: int = 0  # of all charges together; 0: none
     refused_epochs: int = 0  # commands that a kernel refused as their epoch was over
     runs: int = 0
 
+    @property
+    def over(self) -> int:
+        """Return the charges that ran past the cap."""
+        return max(0, self.runs - self.cap) if self.cap else 0
+
     def point(self, share: float) -> float:
         """Return a quantile of the times."""
         ordered = sorted(self.took_s)
@@ -46,18 +59,22 @@
 
 async def campaign(seed: int, size: int = 6, seconds: float = 12.0, rate: float = 15.0, fleet: bool = True,
                    root: Path = ROOT, council: int = 3, zones: int = 1, stores: bool = True,
-                   kinds: tuple[str, ...] = (), servers: int = 0) -> CampaignReport:
-    """Run one seed; ``kinds`` of faults, or all. With ``servers`` the members are translators, whose lists differ."""
+                   kinds: tuple[str, ...] = (), servers: int = 0, cap: int = 0) -> CampaignReport:
+    """Run one seed; ``kinds`` of faults, or all. With ``servers`` the members are translators, whose lists differ.
+
+    With a ``cap`` all charges are one tenant's, who may spend so many; without a fleet each process counts its own.
+    """
     rng = random.Random(seed)
     rows: dict[str, Any] = {**FLEET, **({"store": "council.db"} if stores else {})}
     with tempfile.TemporaryDirectory() as name:
+        rows |= {"caps": True} if cap else {}
         more: dict[str, Any] = {"seed": seed, "root": root, "fleet": rows if fleet else None, "council": council,
-                                "zones": zones}
+                                "zones": zones, "tenants": TENANTS.format(cap) if cap else ""}
         rig = _translators(Path(name), size, servers, rng, more) if servers else Rig(
             Path(name), size, Place(cores=2, classes=CLASSES, servers=size, window_us=WINDOW_US), **more)
         try:
             await rig.start()
-            report = CampaignReport(seed, Findings())
+            report = CampaignReport(seed, Findings(), cap=cap)
             trouble = asyncio.create_task(_trouble(rig, rng, report, seconds, kinds))
             await _load(rig, rng, report, seconds, rate)
             await trouble
@@ -84,7 +101,7 @@
 
     async def one(planned: Planned, first: int) -> None:
         began = time.monotonic()
-        if (await rig.charge(planned, first, GIVE_UP_S)).how == "served":
+        if (await rig.charge(planned, first, CAPPED_GIVE_UP_S if report.cap else GIVE_UP_S)).how == "served":
             report.took_s.append(time.monotonic() - began)
     while (at := at + rng.expovariate(rate)) < seconds:
         await asyncio.sleep(max(0.0, start + at - time.monotonic()))
--- a/tests/cli/test_fleet.py
+++ b/tests/cli/test_fleet.py
@@ -10,6 +10,7 @@
 from sagetrestle.lab.processes import charge
 from sagetrestle.lab.scorer import ROOT
 from tests.fleet.helpers import RigCase
+from tests.fleet.test_caps import TENANTS
 
 
 class FleetCliTest(RigCase):
@@ -24,7 +25,7 @@
         return out.decode() + err.decode()
 
     async def test_status_and_explain_read_from_members_and_say_who_is_missing(self):
-        rig = await self.rig(3, fleet={"partitions": 4, "new": True})
+        rig = await self.rig(3, fleet={"partitions": 4, "new": True, "caps": True}, tenants=TENANTS)
         await rig.charge(charge("K"))
         path = rig.folder / "seen.toml"
         rows = "".join(f'[[members]]\nname = "{name}"\naddress = "{HERE}:{one.ports["fleet"]}"\n'
@@ -37,6 +38,9 @@
         owner = rig.callers[0].router.router.owner("K")
         told = await self.run_cli("explain", "K", "--file", str(path))
         self.assertRegex(told, f"owner {owner}@.*(?s:.*)knows: run [0-9a-f]+ of paid-check, ran, at {owner}@")
+        told = await self.run_cli("limits", "--file", str(path))
+        self.assertRegex(told, r"t, window until .* 1 out, granted by n\d: n\d@\d+ 1")
+        self.assertRegex(told, f"{owner}: t, window until .*: 1 of 1 spent, cap 12, 0 wait")
         await rig.kill(owner)
         self.assertIn("does not answer", await self.run_cli("status", "--file", str(path), code=1))
 
