--- a/sagetrestle/lab/processes.py
+++ b/sagetrestle/lab/processes.py
@@ -10,6 +10,7 @@
 import contextlib
 import signal
 import socket
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -61,9 +62,10 @@
 
     def __init__(self, folder: Path, size: int, place: Place, fronts: int = 2, seed: int = 1,
                  root: Path = ROOT, fleet: dict[str, Any] | None = None, council: int = 3, zones: int = 1,
-                 relays: bool = True, tenants: str = "") -> None:
+                 relays: bool = True, tenants: str = "", clocks: Mapping[str, float] | None = None) -> None:
         super().__init__(folder, size, place, seed=seed)
         self._fronts, self._root, self._fleet, self._zones = fronts, root, fleet, zones
+        self._clocks = dict(clocks or {})  # members whose clock runs so many seconds in one
         self._tenants = tenants  # the tenants' file, by which front ends stand for tenants; empty: identity is off
         self.names = [f"n{at}" for at in range(size)]
         self._direct = {} if relays else dict(zip(self.names, free_ports(size), strict=True))
@@ -136,6 +138,8 @@
             self.kernels.append(kernel)
             self.machines[name] = Machine(kernel, *await listen(kernel.serve))
         scorer = self._scorer(name, home)
+        if name in self._clocks:
+            scorer.module = ("sagetrestle.lab.clocked", str(self._clocks[name]))
         await scorer.start(fronts=1 if self._fleet is None else 2)
         if self._fleet is not None:
             self.links.to(name, scorer.ports["fleet"])
--- a/sagetrestle/lab/scorer.py
+++ b/sagetrestle/lab/scorer.py
@@ -27,6 +27,7 @@
     """
 
     python = sys.executable
+    module: tuple[str, ...] = ("sagetrestle",)
 
     def __init__(self, folder: Path, kernel: EmulatedKernel, settings: Mapping[str, Any],
                  deploy: Mapping[str, str], name: str = "n1", root: Path = ROOT,
@@ -73,7 +74,7 @@
         env = {**os.environ, "PYTHONPATH": str(self._root), "ROUTER_CONFIG": f"{self.folder}/{file}",
                "TMPDIR": str(self.folder)}
         self.process = await asyncio.create_subprocess_exec(
-            self.python, "-B", "-m", "sagetrestle", cwd=self.folder, env=env,
+            self.python, "-B", "-m", *self.module, cwd=self.folder, env=env,
             stderr=asyncio.subprocess.PIPE)
         while len(self.ports) < fronts or not self.log_has(ready):
             if not await self._read_line():
