Verdicts for the whole fleet: servers convicted by independent witnesses, classes paused by operators

Need: a server that was bad for all got its failures from each translator alone, and nobody could pause a class at all members. Now translators with verdicts on tell each other what they saw, by rumours and digests, and each decides by the same function of the same voices; a conviction is handed to the breaker. fleet pause and lift give orders that stay in force where their member is cut off.

--- a/sagetrestle/attempts/breaker.py
+++ b/sagetrestle/attempts/breaker.py
@@ -76,6 +76,11 @@
             return self._eject(name, record, now_us, members)
         return False
 
+    def convict(self, name: str, now_us: int, members: int) -> bool:
+        """Eject a member for what others saw of it, and return whether it was; it comes back as after its own."""
+        record = self._records.setdefault(name, _Record(window_at=now_us))
+        return False if record.trying else self._eject(name, record, now_us, members)
+
     def forget(self, names: Iterable[str]) -> None:
         """Forget members that are gone."""
         for name in names:
--- a/sagetrestle/attempts/keeper.py
+++ b/sagetrestle/attempts/keeper.py
@@ -115,6 +115,7 @@
         self._copies = Budgets(self.terms.copy_share, 0.2)
         self._paces: dict[str, Pace] = {}
         self._compare_at = 0
+        self._counts: dict[str, tuple[int, int]] = {}
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -123,6 +124,20 @@
         """Return when ``passed`` is due."""
         return self._due[0][0] if self._due else None
 
+    def left_out(self, now_us: int) -> tuple[str, ...]:
+        """Return the members that the breaker leaves out now."""
+        return tuple(one.instance.name for one in self.router.view.members.values()
+                     if not self.breaker.allows(one.instance.name, now_us))
+
+    def counted(self) -> dict[str, tuple[int, int]]:
+        """Return the good and bad ends of attempts by member since this was asked."""
+        counts, self._counts = self._counts, {}
+        return counts
+
+    def convict(self, name: str, now_us: int) -> None:
+        """Leave a member out for failures that others saw."""
+        self.breaker.convict(name, now_us, len(self.router.view.members))
+
     def begin(self, now_us: int, job: Job) -> list[KeeperDecision]:
         """Take a job in. Raises ValueError for one whose id is under way."""
         if job.id in self._jobs:
@@ -234,8 +249,7 @@
             return Route(job.member, bound=True)
         if job.key is not None and not self.terms.charges_move:
             return self.router.choose(Wanted(job.key, fixed=True), now_us)
-        out = tuple(one.instance.name for one in self.router.view.members.values()
-                    if not self.breaker.allows(one.instance.name, now_us))
+        out = self.left_out(now_us)
         route = self.router.choose(Wanted(job.key, tried + out), now_us)
         if isinstance(route, NoRoute) and route.why is not Why.BOUND:
             route = self.router.choose(Wanted(job.key, out), now_us)  # a second time at one that was tried
@@ -266,6 +280,8 @@
         if end is not AttemptEnd.WITHDRAWN:
             members = len(self.router.view.members)
             self.breaker.ended(attempt.member, end not in FAULTS, now_us, members)
+            good, bad = self._counts.get(attempt.member, (0, 0))
+            self._counts[attempt.member] = (good + (end not in FAULTS), bad + (end in FAULTS))
         if end is AttemptEnd.ANSWERED:
             job = held.machine.job
             self._paces.setdefault(job.route, Pace(self.terms.copy_point)).note(now_us - began_us)
--- a/sagetrestle/cli/fleet.py
+++ b/sagetrestle/cli/fleet.py
@@ -132,6 +132,67 @@
                        f"{row['may_spend']} spent, cap {row['cap']}, {row['waiting']} wait")
 
 
+@fleet.command()
+@FILE
+@JSON
+def verdicts(path: Path, as_json: bool) -> None:
+    """Show what members have heard of servers, whom they convict, and what operators have paused."""
+    found = {name: one for name, one in ask_all(path, "status").items() if one is not None and "verdicts" in one}
+    if as_json:
+        click.echo(json.dumps({name: {what: one[what] for what in ("verdicts", "convicted", "orders")}
+                               for name, one in found.items()}, indent=1))
+        return
+    for name, one in found.items():
+        for row in one["verdicts"]:
+            click.echo(f"{name} knows: {row['witness']} speaks {'against' if row['against'] else 'for'} {row['kind']} "
+                       f"{row['name']} ({row['good']} good, {row['bad']} bad, {row['age_ms']} ms ago)")
+        for subject in one["convicted"]:
+            click.echo(f"{name} leaves out: {subject}")
+        for row in one["orders"]:
+            until = f" until {_clock(row['until'])}" if row["until"] else ""
+            click.echo(f"{name}: {row['kind']} {row['name']} {'paused' if row['on'] else 'on'}{until}, by "
+                       f"{row['who']}: {row['why']}")
+
+
+def _order(path: Path, cls: str, on: bool, seconds: float, who: str, why: str) -> None:
+    """Have a member take an order; it tells the others."""
+    text = json.dumps({"kind": "class", "name": cls, "on": on, "seconds": seconds, "who": who, "why": why})
+    name, members = _members(path)
+    for to, address in members.items():
+        told = asyncio.run(_ask(name, to, address, "order", text))
+        if told is not None and "error" in told:
+            raise click.ClickException(told["error"])
+        if told is not None:
+            click.echo(f"class {cls}: {'paused' if on else 'lifted'} at {told['member']}, which tells the others")
+            return
+    raise click.ClickException("no member answers")
+
+
+WHO = click.option("--who", required=True, help="Who decides, for the log.")
+WHY = click.option("--why", required=True, help="Why, for the log.")
+
+
+@fleet.command()
+@click.argument("cls")
+@click.option("--for", "seconds", default=0.0, show_default=True, help="Seconds; 0: until it is lifted.")
+@WHO
+@WHY
+@FILE
+def pause(cls: str, seconds: float, who: str, why: str, path: Path) -> None:
+    """Have all members refuse a class, with the time to come back in."""
+    _order(path, cls, True, seconds, who, why)
+
+
+@fleet.command()
+@click.argument("cls")
+@WHO
+@WHY
+@FILE
+def lift(cls: str, who: str, why: str, path: Path) -> None:
+    """End a pause."""
+    _order(path, cls, False, 0.0, who, why)
+
+
 def _clock(unix: int) -> str:
     return time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(unix))
 
--- a/sagetrestle/lab/translators.py
+++ b/sagetrestle/lab/translators.py
@@ -85,19 +85,20 @@
 class TranslatorRig(Rig):
     """Translators ``t0``, ``t1``, ..., new servers ``s0``, ``s1``, ..., and callers.
 
-    ``lists`` has each translator's servers, all where it is not named. ``wires`` has the one link to each server.
+    ``lists`` has each translator's servers, all where it is not named. ``wires`` has the one link to each server, and
+    one of its own for each translator in ``private``.
     """
 
     def __init__(self, folder: Path, size: int = 2, servers: int = 2, lists: Mapping[str, Sequence[str]] | None = None,
                  window_us: int = 30_000_000, seed: int = 1, root: Path = ROOT, checks_tokens: bool = True,
-                 limit_s: float = 5.0, **more: Any) -> None:
+                 limit_s: float = 5.0, private: Sequence[str] = (), **more: Any) -> None:
         super().__init__(folder, size, Place(classes=CLASSES, window_us=window_us), seed=seed, root=root, **more)
         self.names = [f"t{at}" for at in range(size)]
         self._direct = {name: port for name, port in zip(self.names, self._direct.values(), strict=False)}
         self.council = self.names[:min(len(self.names), more.get("council", 3))]
         self.servers = {f"s{at}": NewServer(0.02, checks_tokens) for at in range(servers)}
         self.wires = Links(seed, framed=False)
-        self._lists, self._limit_s = dict(lists or {}), limit_s
+        self._lists, self._limit_s, self._private = dict(lists or {}), limit_s, tuple(private)
 
     async def start(self) -> TranslatorRig:
         """Start servers, then translators, and wait until each caller knows who owns what."""
@@ -106,7 +107,8 @@
             server.faults.answer = lambda value, name=name, count=count: {  # type: ignore[misc]
                 **value, "notes": [f"run {next(count)} at {name}"]}
             await server.start()
-            (await self.wires.between("all", name)).target = server.port  # one address, as records name it
+            for start in ("all", *self._private):
+                (await self.wires.between(start, name)).target = server.port  # one address, as records name it
         if self._fleet is not None:
             for start in [*self.names, *(f"f{at}" for at in range(self._fronts))]:
                 for end in self.names:
@@ -148,7 +150,7 @@
                      f"limit_ms = {int(limit_s * 1000)}\n")
             text += f'effect = "keyed"\nworth = 4.0\nwindow_ms = {self.place.window_us // 1000}\n' if one.charge else ""
         for server in self._lists.get(name, self.servers):
-            port = self.wires.all[("all", server)].port
+            port = self.wires.all[(name if name in self._private else "all", server)].port
             text += f'[[servers]]\nname = "{server}"\naddress = "{HERE}:{port}"\nboot = 1\n'
         return text
 
--- a/sagetrestle/net/program/fleet.py
+++ b/sagetrestle/net/program/fleet.py
@@ -18,7 +18,7 @@
 from sagetrestle.consensus import core as raft
 from sagetrestle.forms import decoded
 from sagetrestle.net.protocol.fences import Fates
-from sagetrestle.net.routing.fleet import HANDLERS, FateTold, Fleet, SeatTaken, StoreDone, join_fleet
+from sagetrestle.net.routing.fleet import HANDLERS, FateTold, Fleet, SeatTaken, Seen, StoreDone, join_fleet
 from sagetrestle.net.routing.inputs import FromFleet, Input
 from sagetrestle.net.routing.caps import join_caps
 from sagetrestle.net.routing.keys import MARGIN_US
@@ -35,8 +35,10 @@
 if TYPE_CHECKING:
     from sagetrestle.net.program.config import Config
     from sagetrestle.net.program.upstream import Upstream
+    from sagetrestle.verdicts import Subject
 
 MS = 1_000
+LOOK_S = 0.1  # between two looks at what requests to servers came to
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,63}$")]
 FATES = {"done": Kind.OUTCOME, "crashed": Kind.FAILED, "never": Kind.NEVER}
 
@@ -74,6 +76,7 @@
     lost_after_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 5_000
     kernel_fences: bool = False
     caps: bool = False
+    verdicts: bool = False
     new: bool = False
 
 
@@ -142,6 +145,7 @@
     def __init__(self, reactor: Any, fleet: FleetConfig, config: Config, post: Callable[[Input], None],
                  log: Callable[[str], None], now: Callable[[], int],
                  in_thread: Callable[[Callable[[], Any]], Any], upstream: Upstream | None = None) -> None:
+        self._reactor, self._looking = reactor, None
         self._upstream = upstream  # new servers, where runs are sent on
         if upstream is not None:
             upstream.fleet = fleet.file.fleet
@@ -171,10 +175,14 @@
 
     def listen(self) -> tuple[str, int]:
         """Take the others' links. Raises CannotListenError."""
+        if self._upstream is not None and self._config.file.verdicts:
+            self._look()
         return self._config.listen[0], self.links.listen(self._config.listen)
 
     def close(self) -> None:
         """End all of it."""
+        if self._looking is not None and self._looking.active():
+            self._looking.cancel()
         self.links.close()
         self._kernels.close()
 
@@ -213,10 +221,24 @@
                 self._forget(why)
             case books.Fence():
                 self._kernels.ask(what)
+            case node.Judged(subjects):
+                self._judged(subjects)
             case books.Inquire() if self._upstream is not None:
                 self._upstream.inquire(what, lambda kind, result, fenced: self._post(FromFleet(FateTold(
                     what.partition, what.epoch, what.what.id, kind, result, fenced))))
 
+    def _judged(self, subjects: tuple[Subject, ...]) -> None:
+        for one in subjects:
+            self._log(f"{one.kind} {one.name} is convicted by independent witnesses")
+            if one.kind == "server" and self._upstream is not None:
+                self._upstream.convict(one.name, one.boot)
+
+    def _look(self) -> None:
+        """Tell what requests to servers came to since the last look."""
+        if seen := self._upstream.seen():  # type: ignore[union-attr]
+            self._post(FromFleet(Seen(seen)))
+        self._looking = self._reactor.callLater(LOOK_S, self._look)
+
     def _persist(self, write: raft.Write) -> None:
         store = self._store
         if store is None:
--- a/sagetrestle/net/program/upstream.py
+++ b/sagetrestle/net/program/upstream.py
@@ -178,9 +178,25 @@
 
     def place(self, cls: str, tenant: str, key: str) -> str:
         """Name the server that a new run of a key is sent to, for its record; empty where there is none."""
-        route = self.router.choose(Wanted(v2.effect_key(tenant, cls, key), fixed=True), self._now())
+        wanted, now = Wanted(v2.effect_key(tenant, cls, key), self.keeper.left_out(self._now())), self._now()
+        route = self.router.choose(wanted, now)
+        if isinstance(route, NoRoute):  # all are left out
+            route = self.router.choose(Wanted(wanted.key, fixed=True), now)
         return "" if isinstance(route, NoRoute) else write_place(route.member.instance)
 
+    def seen(self) -> tuple[tuple[str, int, int, int], ...]:
+        """Return what requests to each server came to since this was asked: name, start, good, bad."""
+        counts = self.keeper.counted()
+        members = self.router.view.members
+        return tuple((name, members[name].instance.boot, good, bad) for name, (good, bad) in counts.items()
+                     if name in members)
+
+    def convict(self, name: str, boot: int) -> None:
+        """Leave a server out that others convicted, as if it had failed here."""
+        member = self.router.view.members.get(name)
+        if member is not None and member.instance.boot == boot:
+            self.keeper.convict(name, self._now())
+
     def _placed(self, place: str) -> Member | None:
         """Return the server that a record names, None where another start under its name took its place."""
         instance = read_place(place)
--- a/sagetrestle/net/routing/fleet.py
+++ b/sagetrestle/net/routing/fleet.py
@@ -28,8 +28,10 @@
 from sagetrestle.recovery.effects import Entry as EffectEntry
 from sagetrestle.takeover import books, judge, node
 from sagetrestle.takeover.judge import Verdict, Word
+from sagetrestle.verdicts import Subject
 
 ELSEWHERE_US = 50_000  # how long to stay away from a member that does not own the key
+PAUSED_US = 5_000_000  # how long to stay away from a class that is paused, at the most
 LOOK_EVERY_US = 200_000  # for tries that wait and that nobody waits for any more
 
 
@@ -50,13 +52,19 @@
     fenced: bool = True
 
 
+class Seen(NamedTuple):
+    """What became of requests to servers lately: name, start, good and bad of each."""
+
+    servers: tuple[tuple[str, int, int, int], ...]
+
+
 class SeatTaken(NamedTuple):
     """The council's store was begun anew."""
 
     seat: Raft
 
 
-FleetEvent = links.Event | StoreDone | FateTold | SeatTaken
+FleetEvent = links.Event | StoreDone | FateTold | Seen | SeatTaken
 
 
 class Fleet:
@@ -256,6 +264,16 @@
             self._look_us = turn.now + LOOK_EVERY_US
             self._give_up(turn)
 
+    def paused(self, turn: Turn, cls: int) -> int:
+        """Return for how long a class is paused by an operator (0: it is not), to be told at once."""
+        orders, unix = self.node.verdicts, turn.unix()
+        if not orders.orders:
+            return 0
+        order = orders.in_force(unix, Subject("class", turn.state.plan.settings.classes[cls].name))
+        if order is None:
+            return 0
+        return min(PAUSED_US, order.until_us - unix) if order.until_us else PAUSED_US
+
     def notice(self, turn: Turn) -> None:
         """Be on the way out: others take what is owned here."""
         self.perform(turn, self.node.leave(turn.now, turn.unix()))
@@ -268,6 +286,9 @@
                 decisions = self.node.persisted(now, unix, done)
             case FateTold():
                 decisions = self.node.fate(now, unix, *event)
+            case Seen(servers):
+                decisions = self.node.saw(now, unix, ((Subject("server", name, boot), good, bad)
+                                                      for name, boot, good, bad in servers))
             case SeatTaken(seat):
                 decisions = self.node.seated(now, unix, seat)
             case _:
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -105,6 +105,9 @@
         turn.final(request, Failed(FailCause.OVERDUE))
     elif request.id in state.entries:
         _doubtful(turn, request, "it came before under this id", Failed())
+    elif state.fleet is not None and (wait := state.fleet.paused(turn, request.cls)):
+        connection.proven = True
+        turn.final(request, Refused(wait, last=True))
     elif len(state.entries) + len(state.unverified) >= state.plan.bounds.requests:
         connection.proven = True
         turn.final(request, Refused(NO_ROOM_US))
--- a/sagetrestle/takeover/messages.py
+++ b/sagetrestle/takeover/messages.py
@@ -7,6 +7,7 @@
 from sagetrestle.consensus.messages import CouncilMessage
 from sagetrestle.ownership.values import FleetMap, Place, Share
 from sagetrestle.recovery.effects import Entry
+from sagetrestle.verdicts import values as verdicts
 
 ENTRIES_A_MESSAGE = 256
 BYTES_A_MESSAGE = 64 * 1024
@@ -163,6 +164,7 @@
 
 
 FleetMessage = (Council | Renew | Granted | Elsewhere | MapTold | Synced | Base | Records | Recorded | Chunk | Fed
+                | verdicts.Told | verdicts.Digest
                 | Stale | Told | Thanks | AskUnits | ToldUnits | RecallUnits | AskSeen | Seen)
 
 
@@ -171,6 +173,8 @@
     match message:
         case Records() | Chunk():
             return 64 + sum(120 + len(one.key) + len(one.result) for one in message.entries)
+        case verdicts.Told():
+            return 64 + 200 * (len(message.voices) + len(message.orders))
         case MapTold(known) | Granted(map=FleetMap() as known):
             return 64 + 120 * len(known.shares) + 80 * len(known.places)
         case _:
--- a/sagetrestle/takeover/node.py
+++ b/sagetrestle/takeover/node.py
@@ -9,7 +9,7 @@
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import Annotated, Any, Literal, NamedTuple
 
 import msgspec
 
@@ -32,6 +32,8 @@
 from sagetrestle.takeover import books as book
 from sagetrestle.takeover import messages
 from sagetrestle.takeover.messages import weight
+from sagetrestle.verdicts import Spread, Subject
+from sagetrestle.verdicts import values as verdicts
 
 BUSY_US, IDLE_US, LEAST_US = 50_000, 100_000, 10_000  # between two looks at what time brings
 SYNCED_EVERY_US = 50_000
@@ -61,14 +63,31 @@
     limit: Limit
 
 
+class Judged(NamedTuple):
+    """Independent witnesses convicted these now."""
+
+    subjects: tuple[Subject, ...]
+
+
 class Changed(NamedTuple):
     """The map is another."""
 
     map: FleetMap
 
 
-Decision = (link.Dial | link.Write | link.Close | Persist | Forget | Changed | Units | book.Start | book.TurnAway
-            | book.Resolved | book.Fence | book.Inquire | book.Note)
+Decision = (link.Dial | link.Write | link.Close | Persist | Forget | Changed | Units | Judged
+            | book.Start | book.TurnAway | book.Resolved | book.Fence | book.Inquire | book.Note)
+
+
+class Ordered(msgspec.Struct, forbid_unknown_fields=True):
+    """An operator's order as a member is asked for it."""
+
+    kind: Literal["class"]
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    on: bool
+    seconds: Annotated[float, msgspec.Meta(ge=0, le=31_536_000)]
+    who: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    why: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 
 @dataclass(slots=True)
@@ -95,6 +114,7 @@
         self.books = book.Books(self.me, terms, window_us)
         self.holder = Holder(terms.lease_us)
         self.units = UnitHolder()
+        self.verdicts = Spread(place.id, place.zone, int(name_of(place.id).encode().hex()[-8:] or "0", 16))
         self.cap_of: Callable[[str], int | None] = lambda tenant: None  # as this member knows it; None: it does not
         self.seat = seat
         self.agreed = FleetMap()  # as the council's log has it here
@@ -156,6 +176,7 @@
             if found := self.books.synced():
                 self._say(self.leader, messages.Synced(found))
             self._ask_units(self.units.passed(now, unix))
+            self._tell_verdicts()
         if now >= self._sweep_us:
             self._sweep_us = now + SWEEP_EVERY_US
             self.books.sweep(unix)
@@ -205,6 +226,14 @@
             self._ask_units(self.units.ask(now, limit))
         return word, self._done()
 
+    def saw(self, now: int, unix: int, seen: Iterable[tuple[Subject, int, int]]) -> list[Decision]:
+        """Take what became of requests to subjects lately: good and bad of each."""
+        self._at(now, unix)
+        for subject, good, bad in seen:
+            self.verdicts.saw(unix, subject, good, bad)
+        self._tell_verdicts()
+        return self._done()
+
     def doubtful(self, now: int, unix: int, at: int, effect_key: str) -> list[Decision]:
         """Take that a run of one's own is over, and that its end is not known."""
         self._at(now, unix)
@@ -291,6 +320,8 @@
                 self._books(books.told(now, unix, sender, message))
             case messages.Thanks():
                 books.thanked(message)
+            case verdicts.Told() | verdicts.Digest():
+                self._heard_verdicts(sender, message)
             case messages.AskUnits():
                 self._asked_units(sender, message)
             case messages.ToldUnits():
@@ -314,6 +345,40 @@
         for connection in self.links.observers():
             self._links(self.links.reply(connection, link.Carry(known.version, messages.MapTold(known))))
 
+    # Verdicts
+
+    def _tell_verdicts(self) -> None:
+        peers = tuple(name for name, out in self.links.out.items() if out.stage is link.Stage.UP)
+        for one in self.verdicts.passed(self._unix, peers):
+            self._say(one.to, one.message)
+        if found := self.verdicts.judged(self._unix):
+            self._out.append(Judged(found))
+
+    def _heard_verdicts(self, sender: str, message: verdicts.Told | verdicts.Digest) -> None:
+        known = dict(self.verdicts.orders)
+        for one in self.verdicts.heard(self._unix, name_of(sender), message):
+            self._say(one.to, one.message)
+        for subject, order in self.verdicts.orders.items():
+            if known.get(subject) != order:
+                self._note_order(order)
+        if found := self.verdicts.judged(self._unix):
+            self._out.append(Judged(found))
+
+    def _note_order(self, order: verdicts.Order) -> None:
+        what = "paused" if order.on else "on again"
+        self._out.append(book.Note(f"{order.subject.kind} {order.subject.name} is {what} by {order.who}: {order.why}"))
+
+    def _ordered(self, text: str) -> dict[str, Any]:
+        """Take an operator's order."""
+        try:
+            asked = msgspec.json.decode(text, type=Ordered)
+        except msgspec.MsgspecError as error:
+            return {"error": str(error)}
+        until = self._unix + int(asked.seconds * 1e6) if asked.seconds else 0
+        order = self.verdicts.order(self._unix, Subject(asked.kind, asked.name), asked.on, until, asked.who, asked.why)
+        self._note_order(order)
+        return {"member": self.me, "version": order.version, "until": until}
+
     # Limits
 
     def _ask_units(self, asks: Iterable[UnitAsk]) -> None:
@@ -508,7 +573,8 @@
             if known.version:
                 self._links(self.links.reply(connection, link.Carry(known.version, messages.MapTold(known))))
             return
-        told = self.status() if ask.what == "status" else self.explain(ask.key)
+        told = self.status() if ask.what == "status" else self._ordered(ask.key) if ask.what == "order" \
+            else self.explain(ask.key)
         self._links(self.links.reply(connection, Answer(msgspec.json.encode(told))))
 
     def status(self) -> dict[str, Any]:
@@ -529,6 +595,14 @@
             "epochs": [min((one.epoch for one in known.shares), default=0),
                        max((one.epoch for one in known.shares), default=0)],
             "taken_over": self.books.taken_over, "adopted": self.books.adopted, "freed": self.books.freed,
+            "verdicts": [{"kind": one.subject.kind, "name": one.subject.name, "boot": one.subject.boot,
+                          "witness": one.witness, "zone": one.zone, "against": one.against, "good": one.good,
+                          "bad": one.bad, "age_ms": max(0, unix - one.at_us) // 1000}
+                         for one in list(self.verdicts.voices.values())[:200]],
+            "convicted": [f"{one.kind} {one.name}" for one in self.verdicts.bad],
+            "orders": [{"kind": one.subject.kind, "name": one.subject.name, "on": one.on, "version": one.version,
+                        "until": one.until_us // 1_000_000, "who": one.who, "why": one.why}
+                       for one in self.verdicts.orders.values()],
             "limits": [{"limit": one.limit.tenant, "window_s": one.limit.window_us // 1_000_000,
                         "until": one.limit.until_us // 1_000_000, "cap": one.cap, "may_spend": one.total,
                         "spent": one.used, "waiting": len(one.waiting)}
--- /dev/null
+++ b/sagetrestle/verdicts/values.py
@@ -0,0 +1,63 @@
+"""The words of verdicts. Times are Unix microseconds: they must mean the same at all members."""
+
+from __future__ import annotations
+
+import msgspec
+
+AGE_US = 5_000_000  # past which a voice counts no more: one's own evidence counts again
+KEPT_US = 60_000_000  # past which a voice, or an order that ended, is forgotten
+LEAST_BAD = 3  # failures before a witness speaks against a server
+
+
+class Subject(msgspec.Struct, frozen=True, array_like=True):
+    """Whom a verdict is on: a kind (``server``, ``class``), a name, and which start of it."""
+
+    kind: str
+    name: str
+    boot: int = 0
+
+
+class Voice(msgspec.Struct, frozen=True, array_like=True):
+    """What one witness saw of a subject lately; of one witness's voices on it the latest counts."""
+
+    subject: Subject
+    witness: str  # a member's id
+    zone: str
+    number: int
+    at_us: int
+    good: int
+    bad: int
+
+    @property
+    def against(self) -> bool:
+        """Tell whether it speaks against its subject."""
+        return self.bad >= LEAST_BAD and self.bad >= self.good
+
+
+class Order(msgspec.Struct, frozen=True, array_like=True):
+    """What an operator decided on a subject; the highest version counts, and of equal ones the later name.
+
+    It stays in force until it is lifted or ``until_us`` comes, however long its holder was cut off.
+    """
+
+    subject: Subject
+    version: int
+    on: bool
+    at_us: int
+    until_us: int
+    who: str
+    why: str
+
+
+class Told(msgspec.Struct, frozen=True, array_like=True, tag="verdicts"):
+    """A member tells what it has heard."""
+
+    voices: tuple[Voice, ...] = ()
+    orders: tuple[Order, ...] = ()
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag="verdicts-digest"):
+    """A member tells a digest of all it has; one that has another answers with all of its own."""
+
+    digest: int
+    answers: bool = False
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -49,6 +49,8 @@
              "consensus": (*SEEDED, *TOOLS, "identity", "limits", "membership", "router"),
              "peers": (*SEEDED, *TOOLS, "identity", "limits", "consensus", "takeover"),
              "ownership": (*IO, *TOOLS, "identity", "limits", "peers", "consensus", "takeover"),
+             "quota": (*IO, *TOOLS, "identity", "limits", "takeover", "peers"),
+             "verdicts": (*SEEDED, *TOOLS, "identity", "limits", "takeover", "peers"),
              "takeover": (*IO, *TOOLS, "identity", "limits", "router")}
 
 
--- /dev/null
+++ b/tests/verdicts/test_verdicts.py
@@ -0,0 +1,146 @@
+"""Verdicts by themselves: who is convicted, and how words spread."""
+
+import random
+import unittest
+
+from sagetrestle.verdicts import AGE_US, Digest, Spread, Subject, Told, Voice, convicted
+from sagetrestle.verdicts.spread import MOST_VOICES, SPEAK_EVERY_US
+
+S = 1_000_000
+A, B, C = (Subject("server", name, 1) for name in ("s0", "s1", "s2"))
+
+
+def voice(subject, witness, good, bad, zone="", at=0, number=1):
+    return Voice(subject, witness, zone, number, at, good, bad)
+
+
+class JudgeTest(unittest.TestCase):
+    """Voices."""
+
+    def judge(self, *voices, at=0):
+        return convicted(voices, at, AGE_US)
+
+    def test_one_member_with_a_bad_link_convicts_nobody(self):
+        self.assertEqual(frozenset(), self.judge(voice(A, "m0", 0, 50)))
+        self.assertEqual(frozenset(), self.judge(voice(A, "m0", 0, 50), voice(A, "m1", 9, 0)))
+
+    def test_two_convict_and_more_that_say_otherwise_acquit(self):
+        two = (voice(A, "m0", 0, 5), voice(A, "m1", 1, 5))
+        self.assertEqual({A}, self.judge(*two))
+        self.assertEqual({A}, self.judge(*two, voice(A, "m2", 5, 0)))
+        self.assertEqual(frozenset(), self.judge(*two, voice(A, "m2", 5, 0), voice(A, "m3", 5, 2)))
+
+    def test_a_zone_counts_once(self):
+        zone = [voice(A, f"m{at}", 0, 9, "z0") for at in range(4)]
+        self.assertEqual(frozenset(), self.judge(*zone, voice(A, "m9", 9, 0, "z1")))
+        self.assertEqual({A}, self.judge(*zone, voice(A, "m9", 0, 9, "z1")))
+
+    def test_a_member_that_speaks_against_all_that_others_praise_is_not_heard(self):
+        liar = [voice(one, "m0", 0, 9) for one in (A, B, C)]
+        praise = [voice(one, name, 9, 0) for one in (B, C) for name in ("m1", "m2")]
+        self.assertEqual(frozenset(), self.judge(*liar, *praise, voice(A, "m1", 1, 4)))
+        self.assertEqual({A}, self.judge(*liar, *praise, voice(A, "m1", 1, 4), voice(A, "m2", 0, 3)))
+
+    def test_old_voices_count_no_more_and_another_start_is_another_subject(self):
+        two = (voice(A, "m0", 0, 5), voice(A, "m1", 1, 5))
+        self.assertEqual({A}, self.judge(*two, at=AGE_US))
+        self.assertEqual(frozenset(), self.judge(*two, at=AGE_US + 1))
+        self.assertNotIn(Subject("server", "s0", 2), self.judge(*two))
+
+
+class SpreadTest(unittest.TestCase):
+    """Members that tell each other."""
+
+    def members(self, count, loss=0.0, seed=1):
+        self.names = [f"m{at}" for at in range(count)]
+        self.all = {name: Spread(f"{name}@1", "", seed + at) for at, name in enumerate(self.names)}
+        self.rng, self.loss, self.now, self.messages = random.Random(seed), loss, 0, 0
+
+    def beat(self, cut=frozenset()):
+        """Let a beat pass; messages take the time until the next."""
+        said = [(name, one) for name in self.names for one in self.all[name].passed(
+            self.now, tuple(other for other in self.names if other != name))]
+        self.now += 100_000
+        while said:
+            sender, one = said.pop(0)
+            self.messages += 1
+            if self.rng.random() >= self.loss and (sender in cut) == (one.to in cut):
+                said += [(one.to, more) for more in self.all[one.to].heard(self.now, sender, one.message)]
+
+    def until(self, test, most=200):
+        for beat in range(most):
+            if test():
+                return beat
+            self.beat()
+        self.fail("never")
+
+    def test_a_verdict_is_known_to_all_within_the_stated_time(self):
+        for count, seconds in ((6, 1.0), (20, 1.0), (200, 3.0)):
+            with self.subTest(count):
+                self.members(count)
+                for name in self.names[:3]:
+                    self.all[name].saw(self.now, A, 0, 5)
+                beats = self.until(lambda: all(A in convicted(one.voices.values(), self.now, AGE_US)
+                                               for one in self.all.values()))
+                self.assertLessEqual(beats * 0.1, seconds)
+
+    def test_what_chance_and_loss_left_out_comes_by_digests(self):
+        self.members(20, loss=0.4)
+        self.all["m0"].order(0, Subject("class", "paid-check"), True, 0, "Mona", "ledger")
+        self.until(lambda: all(one.in_force(self.now, Subject("class", "paid-check")) for one in self.all.values()))
+
+    def test_an_order_of_a_cut_stays_at_both_sides_and_the_later_one_holds_when_it_heals(self):
+        self.members(6)
+        subject, cut = Subject("class", "paid-check"), {"m4", "m5"}
+        self.all["m0"].order(self.now, subject, True, 0, "Mona", "ledger")
+        for _ in range(15):
+            self.beat()
+        self.all["m5"].order(self.now, subject, False, 0, "Adel", "mended")
+        for _ in range(40):
+            self.beat(cut)
+        self.assertEqual([True] * 4 + [False] * 2,
+                         [one.in_force(self.now, subject) is not None for one in self.all.values()])
+        self.until(lambda: not any(one.in_force(self.now, subject) for one in self.all.values()))
+        old = Told((), (self.all["m0"].orders[subject].__class__(subject, 1, True, 0, 0, "Mona", "ledger"),))
+        self.all["m1"].heard(self.now, "m0", old)  # yesterday's copy
+        self.assertIsNone(self.all["m1"].in_force(self.now, subject))
+
+    def test_nothing_is_said_while_there_is_nothing_to_say(self):
+        self.members(6)
+        for _ in range(50):
+            for one in self.all.values():
+                one.saw(self.now, A, 20, 0)
+            self.beat()
+        self.assertEqual(0, self.messages)
+
+    def test_a_subject_that_is_well_again_is_acquitted_and_voices_end(self):
+        self.members(6)
+        for one in self.all.values():
+            one.saw(self.now, A, 0, 9)
+        self.until(lambda: all(one.judged(self.now) for one in self.all.values()))
+        for _ in range(60):
+            for one in self.all.values():
+                one.saw(self.now, A, 10, 0)
+            self.beat()
+        for one in self.all.values():
+            one.judged(self.now)
+            self.assertEqual(frozenset(), one.bad)
+        self.now += 2 * SPEAK_EVERY_US + AGE_US
+        before = self.messages
+        for _ in range(20):
+            self.beat()
+        self.assertLess(self.messages - before, 30)  # digests of what is not yet forgotten
+
+    def test_a_flood_is_bounded(self):
+        self.members(2)
+        many = tuple(voice(Subject("server", f"s{at}"), "m9@1", 0, 9) for at in range(MOST_VOICES + 100))
+        self.all["m0"].heard(0, "m1", Told(many))
+        self.assertEqual(MOST_VOICES, len(self.all["m0"].voices))
+        self.assertLessEqual(len(self.all["m0"].passed(0, ("m1",))[0].message.voices), 500)
+
+    def test_voices_from_far_ahead_or_long_ago_are_not_taken(self):
+        self.members(1)
+        for at in (-100 * S, 100 * S):
+            self.all["m0"].heard(0, "m1", Told((voice(A, "m1@1", 0, 9, at=at),)))
+        self.assertEqual({}, self.all["m0"].voices)
+        self.assertEqual([], self.all["m0"].heard(0, "m1", Digest(self.all["m0"]._digest(0))))
