--- a/sagetrestle/cli/fleet.py
+++ b/sagetrestle/cli/fleet.py
@@ -108,6 +108,110 @@
             click.echo(f"in doubt at {one['member']}: {key}")
 
 
+@fleet.command()
+@FILE
+@JSON
+def limits(path: Path, as_json: bool) -> None:
+    """Show tenants' limits over the fleet: what each member may spend alone, what is out, and what that locks up.
+
+    Read from the members, changes nothing. At worst a limit's members that do not answer have spent all they hold.
+    """
+    found = {name: one for name, one in ask_all(path, "status").items() if one is not None and "limits" in one}
+    if as_json:
+        click.echo(json.dumps({name: {what: one[what] for what in ("limits", "granted")} for name, one in
+                               found.items()}, indent=1))
+        return
+    for name, one in found.items():
+        for row in one["granted"]:
+            out = ", ".join(f"{holder} {units}" for holder, units in sorted(row["out"].items()))
+            click.echo(f"{row['limit']}, window until {_clock(row['until'])}: {sum(row['out'].values())} out, "
+                       f"granted by {name}: {out}")
+    for name, one in found.items():
+        for row in one["limits"]:
+            click.echo(f"  {name}: {row['limit']}, window until {_clock(row['until'])}: {row['spent']} of "
+                       f"{row['may_spend']} spent, cap {row['cap']}, {row['waiting']} wait")
+
+
+@fleet.command()
+@FILE
+@JSON
+def rates(path: Path, as_json: bool) -> None:
+    """Show tenants' rates over the fleet: each member's share, its demand, and how long its lease lasts."""
+    found = {name: one["rates"] for name, one in ask_all(path, "status").items() if one is not None and "rates" in one}
+    if as_json:
+        click.echo(json.dumps(found, indent=1))
+        return
+    for name, rows in found.items():
+        for row in rows:
+            click.echo(f"{row['tenant']}: {name} has {row['share']:g} of {row['rate']:g} a second, is asked for "
+                       f"{row['demand']:g}, lease {row['lease_ms']} ms")
+
+
+@fleet.command()
+@FILE
+@JSON
+def verdicts(path: Path, as_json: bool) -> None:
+    """Show what members have heard of servers, whom they convict, and what operators have paused."""
+    found = {name: one for name, one in ask_all(path, "status").items() if one is not None and "verdicts" in one}
+    if as_json:
+        click.echo(json.dumps({name: {what: one[what] for what in ("verdicts", "convicted", "orders")}
+                               for name, one in found.items()}, indent=1))
+        return
+    for name, one in found.items():
+        for row in one["verdicts"]:
+            click.echo(f"{name} knows: {row['witness']} speaks {'against' if row['against'] else 'for'} {row['kind']} "
+                       f"{row['name']} ({row['good']} good, {row['bad']} bad, {row['age_ms']} ms ago)")
+        for subject in one["convicted"]:
+            click.echo(f"{name} leaves out: {subject}")
+        for row in one["orders"]:
+            until = f" until {_clock(row['until'])}" if row["until"] else ""
+            click.echo(f"{name}: {row['kind']} {row['name']} {'paused' if row['on'] else 'on'}{until}, by "
+                       f"{row['who']}: {row['why']}")
+
+
+def _order(path: Path, cls: str, on: bool, seconds: float, who: str, why: str) -> None:
+    """Have a member take an order; it tells the others."""
+    text = json.dumps({"kind": "class", "name": cls, "on": on, "seconds": seconds, "who": who, "why": why})
+    name, members = _members(path)
+    for to, address in members.items():
+        told = asyncio.run(_ask(name, to, address, "order", text))
+        if told is not None and "error" in told:
+            raise click.ClickException(told["error"])
+        if told is not None:
+            click.echo(f"class {cls}: {'paused' if on else 'lifted'} at {told['member']}, which tells the others")
+            return
+    raise click.ClickException("no member answers")
+
+
+WHO = click.option("--who", required=True, help="Who decides, for the log.")
+WHY = click.option("--why", required=True, help="Why, for the log.")
+
+
+@fleet.command()
+@click.argument("cls")
+@click.option("--for", "seconds", default=0.0, show_default=True, help="Seconds; 0: until it is lifted.")
+@WHO
+@WHY
+@FILE
+def pause(cls: str, seconds: float, who: str, why: str, path: Path) -> None:
+    """Have all members refuse a class, with the time to come back in."""
+    _order(path, cls, True, seconds, who, why)
+
+
+@fleet.command()
+@click.argument("cls")
+@WHO
+@WHY
+@FILE
+def lift(cls: str, who: str, why: str, path: Path) -> None:
+    """End a pause."""
+    _order(path, cls, False, 0.0, who, why)
+
+
+def _clock(unix: int) -> str:
+    return time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(unix))
+
+
 @fleet.command()
 @click.argument("key")
 @FILE
--- a/sagetrestle/takeover/messages.py
+++ b/sagetrestle/takeover/messages.py
@@ -7,6 +7,7 @@
 from sagetrestle.consensus.messages import CouncilMessage
 from sagetrestle.ownership.values import FleetMap, Place, Share
 from sagetrestle.recovery.effects import Entry
+from sagetrestle.verdicts import values as verdicts
 
 ENTRIES_A_MESSAGE = 256
 BYTES_A_MESSAGE = 64 * 1024
@@ -122,6 +123,57 @@
     key: str
 
 
+class AskUnits(msgspec.Struct, frozen=True, array_like=True, tag="ask-units"):
+    """A holder tells the granter of a limit what it keeps of it, and how much more it wants."""
+
+    partition: int
+    limit: str
+    cap: int
+    version: int
+    total: int
+    wanted: int
+
+
+class ToldUnits(msgspec.Struct, frozen=True, array_like=True, tag="told-units"):
+    """The granter tells a holder its part, and what is left of the cap; all backups have its record."""
+
+    limit: str
+    version: int
+    total: int
+    left: int
+
+
+class RecallUnits(msgspec.Struct, frozen=True, array_like=True, tag="recall-units"):
+    """The granter asks a holder for what it has not spent."""
+
+    limit: str
+
+
+class AskShare(msgspec.Struct, frozen=True, array_like=True, tag="ask-share"):
+    """A holder reports its demand of a tenant's rate, and the share that it has (a second)."""
+
+    partition: int
+    tenant: str
+    number: int
+    rate: float
+    demand: float
+    has: float
+
+
+class NudgeShare(msgspec.Struct, frozen=True, array_like=True, tag="nudge-share"):
+    """The granter has a holder report at once: another is short."""
+
+    tenant: str
+
+
+class ToldShare(msgspec.Struct, frozen=True, array_like=True, tag="told-share"):
+    """The granter's answer to a report."""
+
+    tenant: str
+    number: int
+    share: float
+
+
 class AskSeen(msgspec.Struct, frozen=True, array_like=True, tag="ask-seen"):
     """A new owner asks the one before whether it knows that its epoch is over."""
 
@@ -137,7 +189,9 @@
 
 
 FleetMessage = (Council | Renew | Granted | Elsewhere | MapTold | Synced | Base | Records | Recorded | Chunk | Fed
-                | Stale | Told | Thanks | AskSeen | Seen)
+                | verdicts.Told | verdicts.Digest
+                | Stale | Told | Thanks | AskUnits | ToldUnits | RecallUnits | AskShare | ToldShare | NudgeShare
+                | AskSeen | Seen)
 
 
 def weight(message: FleetMessage) -> int:
@@ -145,6 +199,8 @@
     match message:
         case Records() | Chunk():
             return 64 + sum(120 + len(one.key) + len(one.result) for one in message.entries)
+        case verdicts.Told():
+            return 64 + 200 * (len(message.voices) + len(message.orders))
         case MapTold(known) | Granted(map=FleetMap() as known):
             return 64 + 120 * len(known.shares) + 80 * len(known.places)
         case _:
--- a/sagetrestle/takeover/node.py
+++ b/sagetrestle/takeover/node.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import Annotated, Any, Literal, NamedTuple
 
 import msgspec
 
@@ -22,11 +22,20 @@
 )
 from sagetrestle.peers import links as link
 from sagetrestle.peers.frames import Answer, Ask
+from sagetrestle.quota import Ask as UnitAsk
+from sagetrestle.quota import Limit, rates
+from sagetrestle.quota.holder import Holder as UnitHolder
+from sagetrestle.quota.holder import Word as UnitWord
+from sagetrestle.quota.rates import Granter as ShareGranter
+from sagetrestle.quota.rates import RateHolder
+from sagetrestle.quota.values import key_of
 from sagetrestle.recovery.effects import Entry
 from sagetrestle.recovery.effects import Kind as EntryKind
 from sagetrestle.takeover import books as book
 from sagetrestle.takeover import messages
 from sagetrestle.takeover.messages import weight
+from sagetrestle.verdicts import Spread, Subject
+from sagetrestle.verdicts import values as verdicts
 
 BUSY_US, IDLE_US, LEAST_US = 50_000, 100_000, 10_000  # between two looks at what time brings
 SYNCED_EVERY_US = 50_000
@@ -50,14 +59,37 @@
     why: str
 
 
+class Units(NamedTuple):
+    """What waited for units of this limit may ask again."""
+
+    limit: Limit
+
+
+class Judged(NamedTuple):
+    """Independent witnesses convicted these now."""
+
+    subjects: tuple[Subject, ...]
+
+
 class Changed(NamedTuple):
     """The map is another."""
 
     map: FleetMap
 
 
-Decision = (link.Dial | link.Write | link.Close | Persist | Forget | Changed | book.Start | book.TurnAway
-            | book.Resolved | book.Fence | book.Inquire | book.Note)
+Decision = (link.Dial | link.Write | link.Close | Persist | Forget | Changed | Units | Judged
+            | book.Start | book.TurnAway | book.Resolved | book.Fence | book.Inquire | book.Note)
+
+
+class Ordered(msgspec.Struct, forbid_unknown_fields=True):
+    """An operator's order as a member is asked for it."""
+
+    kind: Literal["class"]
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    on: bool
+    seconds: Annotated[float, msgspec.Meta(ge=0, le=31_536_000)]
+    who: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    why: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 
 @dataclass(slots=True)
@@ -83,6 +115,10 @@
         self.me = place.id
         self.books = book.Books(self.me, terms, window_us)
         self.holder = Holder(terms.lease_us)
+        self.units = UnitHolder()
+        self.rates, self.shares = RateHolder(), ShareGranter(terms.drift)
+        self.verdicts = Spread(place.id, place.zone, int(name_of(place.id).encode().hex()[-8:] or "0", 16))
+        self.cap_of: Callable[[str], int | None] = lambda tenant: None  # as this member knows it; None: it does not
         self.seat = seat
         self.agreed = FleetMap()  # as the council's log has it here
         self.leader = council[0]
@@ -142,9 +178,13 @@
             self._synced_us = now + SYNCED_EVERY_US
             if found := self.books.synced():
                 self._say(self.leader, messages.Synced(found))
+            self._ask_units(self.units.passed(now, unix))
+            self._report_rates()
+            self._tell_verdicts()
         if now >= self._sweep_us:
             self._sweep_us = now + SWEEP_EVERY_US
             self.books.sweep(unix)
+            self.shares.passed(now)
         return self._done()
 
     def due(self, now: int) -> int:
@@ -183,6 +223,22 @@
         self._books(self.books.ended(now, at, entry))
         return self._done()
 
+    def take_unit(self, now: int, unix: int, limit: Limit, cap: int, id: str) -> tuple[UnitWord, list[Decision]]:
+        """Take a unit of a hard limit for a charge, or have one asked for."""
+        self._at(now, unix)
+        word = self.units.take(now, limit, cap, id)
+        if word is UnitWord.WAIT:
+            self._ask_units(self.units.ask(now, limit))
+        return word, self._done()
+
+    def saw(self, now: int, unix: int, seen: Iterable[tuple[Subject, int, int]]) -> list[Decision]:
+        """Take what became of requests to subjects lately: good and bad of each."""
+        self._at(now, unix)
+        for subject, good, bad in seen:
+            self.verdicts.saw(unix, subject, good, bad)
+        self._tell_verdicts()
+        return self._done()
+
     def doubtful(self, now: int, unix: int, at: int, effect_key: str) -> list[Decision]:
         """Take that a run of one's own is over, and that its end is not known."""
         self._at(now, unix)
@@ -269,6 +325,20 @@
                 self._books(books.told(now, unix, sender, message))
             case messages.Thanks():
                 books.thanked(message)
+            case verdicts.Told() | verdicts.Digest():
+                self._heard_verdicts(sender, message)
+            case messages.AskUnits():
+                self._asked_units(sender, message)
+            case messages.ToldUnits():
+                self._told_units(message)
+            case messages.AskShare():
+                self._asked_share(sender, message)
+            case messages.ToldShare(tenant, number, share):
+                self.rates.told(now, tenant, number, share)
+            case messages.NudgeShare(tenant) if books.map.shares:
+                self._report(self.rates.nudged(now, tenant))
+            case messages.RecallUnits(limit):
+                self._ask_units(self.units.recalled(now, limit))
             case messages.AskSeen():
                 self._books(books.ask_seen(now, unix, sender, message))
             case messages.Seen():
@@ -286,6 +356,81 @@
         for connection in self.links.observers():
             self._links(self.links.reply(connection, link.Carry(known.version, messages.MapTold(known))))
 
+    # Verdicts
+
+    def _tell_verdicts(self) -> None:
+        peers = tuple(name for name, out in self.links.out.items() if out.stage is link.Stage.UP)
+        for one in self.verdicts.passed(self._unix, peers):
+            self._say(one.to, one.message)
+        if found := self.verdicts.judged(self._unix):
+            self._out.append(Judged(found))
+
+    def _heard_verdicts(self, sender: str, message: verdicts.Told | verdicts.Digest) -> None:
+        known = dict(self.verdicts.orders)
+        for one in self.verdicts.heard(self._unix, name_of(sender), message):
+            self._say(one.to, one.message)
+        for subject, order in self.verdicts.orders.items():
+            if known.get(subject) != order:
+                self._note_order(order)
+        if found := self.verdicts.judged(self._unix):
+            self._out.append(Judged(found))
+
+    def _note_order(self, order: verdicts.Order) -> None:
+        what = "paused" if order.on else "on again"
+        self._out.append(book.Note(f"{order.subject.kind} {order.subject.name} is {what} by {order.who}: {order.why}"))
+
+    def _ordered(self, text: str) -> dict[str, Any]:
+        """Take an operator's order."""
+        try:
+            asked = msgspec.json.decode(text, type=Ordered)
+        except msgspec.MsgspecError as error:
+            return {"error": str(error)}
+        until = self._unix + int(asked.seconds * 1e6) if asked.seconds else 0
+        order = self.verdicts.order(self._unix, Subject(asked.kind, asked.name), asked.on, until, asked.who, asked.why)
+        self._note_order(order)
+        return {"member": self.me, "version": order.version, "until": until}
+
+    # Limits
+
+    def _ask_units(self, asks: Iterable[UnitAsk]) -> None:
+        for ask in asks:
+            if self.books.map.shares:
+                at, share = self.books.share_of(key_of(ask.limit.tenant))
+                self._say(share.owner, messages.AskUnits(at, ask.limit.name, ask.cap, *ask[2:]))
+
+    def _asked_units(self, sender: str, ask: messages.AskUnits) -> None:
+        """Decide as the granter, which only the owner of its partition is, and only under its lease."""
+        at = ask.partition
+        if not self.owns(at, self._now) or not self.books.recordable(at):
+            return  # it is asked again, or another is
+        known = self.cap_of(Limit.named(ask.limit).tenant)
+        self._books(self.books.units(self._now, self._unix, sender, ask, ask.cap if known is None else known,
+                                     self.terms.apart_us))
+
+    def _told_units(self, what: messages.ToldUnits) -> None:
+        for one in self.units.told(self._now, what.limit, what.version, what.total, what.left):
+            self._out.append(Units(one.limit))
+
+    def _report_rates(self) -> None:
+        if self.rates.buckets and self.books.map.shares:
+            self._report(self.rates.passed(self._now))
+
+    def _report(self, asks: Iterable[rates.AskShare]) -> None:
+        for ask in asks:
+            at, share = self.books.share_of(key_of(ask.tenant))
+            self._say(share.owner, messages.AskShare(at, *ask))
+
+    def _asked_share(self, sender: str, ask: messages.AskShare) -> None:
+        """Share a rate out as the granter, under the lease of its partition."""
+        if not self.owns(ask.partition, self._now):
+            return
+        what = rates.AskShare(ask.tenant, ask.number, ask.rate, ask.demand, ask.has)
+        share = self.shares.ask(self._now, self.books.copies[ask.partition].since_us, sender, what)
+        if share is not None:
+            self._say(sender, messages.ToldShare(ask.tenant, ask.number, share))
+            for holder in self.shares.nudges(ask.tenant):
+                self._say(holder, messages.NudgeShare(ask.tenant))
+
     # The lease
 
     def _renew(self) -> None:
@@ -459,7 +604,8 @@
             if known.version:
                 self._links(self.links.reply(connection, link.Carry(known.version, messages.MapTold(known))))
             return
-        told = self.status() if ask.what == "status" else self.explain(ask.key)
+        told = self.status() if ask.what == "status" else self._ordered(ask.key) if ask.what == "order" \
+            else self.explain(ask.key)
         self._links(self.links.reply(connection, Answer(msgspec.json.encode(told))))
 
     def status(self) -> dict[str, Any]:
@@ -480,6 +626,22 @@
             "epochs": [min((one.epoch for one in known.shares), default=0),
                        max((one.epoch for one in known.shares), default=0)],
             "taken_over": self.books.taken_over, "adopted": self.books.adopted, "freed": self.books.freed,
+            "verdicts": [{"kind": one.subject.kind, "name": one.subject.name, "boot": one.subject.boot,
+                          "witness": one.witness, "zone": one.zone, "against": one.against, "good": one.good,
+                          "bad": one.bad, "age_ms": max(0, unix - one.at_us) // 1000}
+                         for one in list(self.verdicts.voices.values())[:200]],
+            "convicted": [f"{one.kind} {one.name}" for one in self.verdicts.bad],
+            "orders": [{"kind": one.subject.kind, "name": one.subject.name, "on": one.on, "version": one.version,
+                        "until": one.until_us // 1_000_000, "who": one.who, "why": one.why}
+                       for one in self.verdicts.orders.values()],
+            "limits": [{"limit": one.limit.tenant, "window_s": one.limit.window_us // 1_000_000,
+                        "until": one.limit.until_us // 1_000_000, "cap": one.cap, "may_spend": one.total,
+                        "spent": one.used, "waiting": len(one.waiting)}
+                       for one in list(self.units.accounts.values())[:100]],
+            "rates": [{"tenant": tenant, "rate": one.rate, "share": round(one.pace(now), 2),
+                       "demand": round(one.demand, 2), "lease_ms": max(0, one.until_us - now) // 1000}
+                      for tenant, one in list(self.rates.buckets.items())[:100]],
+            "granted": self.books.granted()[:100],
             "in_doubt": [book.marks(one.digest).key for _, one in self.books.in_doubt(unix)][:100],
             "links": {name: {"up": out.peer, "sent": out.sent, "unacknowledged": out.bytes_out,
                              "dropped": out.dropped, "phi": round(self.links.detectors[name].phi(now), 1)}
