Upgrade a member of a fleet: the newer process takes the links once the older one is gone

Seen by reading: the newer process could not listen where the older one still took the members' links and ended with code 1; and by dialling the others it would have cut the older one off on its way out (they hear the latest start of a name only). Now it waits for the port, and greets nobody before. Shown: an upgrade under charges while another member is killed: all served, none twice.

--- a/sagetrestle/lab/processes.py
+++ b/sagetrestle/lab/processes.py
@@ -23,6 +23,7 @@
 from sagetrestle.lab.load import Outcome, Planned
 from sagetrestle.lab.place import HERE, Place
 from sagetrestle.lab.routed import RoutedSender, RouterChooser
+from sagetrestle.lab.operator import call
 from sagetrestle.lab.scorer import ROOT, ScorerProcess
 from sagetrestle.lab.fleet import reactor_here
 from sagetrestle.lab.signer import LabSigner, identity_toml
@@ -62,9 +63,11 @@
 
     def __init__(self, folder: Path, size: int, place: Place, fronts: int = 2, seed: int = 1,
                  root: Path = ROOT, fleet: dict[str, Any] | None = None, council: int = 3, zones: int = 1,
-                 relays: bool = True, tenants: str = "", clocks: Mapping[str, float] | None = None) -> None:
+                 relays: bool = True, tenants: str = "", clocks: Mapping[str, float] | None = None,
+                 upgraded: str = "") -> None:
         super().__init__(folder, size, place, seed=seed)
         self._fronts, self._root, self._fleet, self._zones = fronts, root, fleet, zones
+        self._upgraded = (upgraded, free_ports(1)[0]) if upgraded else ("", 0)  # one member, and its port for links
         self._clocks = dict(clocks or {})  # members whose clock runs so many seconds in one
         self._tenants = tenants  # the tenants' file, by which front ends stand for tenants; empty: identity is off
         self.names = [f"n{at}" for at in range(size)]
@@ -117,7 +120,8 @@
         return self._direct[end] if self._direct else self.links.all[(start, end)].port
 
     def _fleet_toml(self, name: str) -> str:
-        rows = {"fleet": "lab", "listen": f"{HERE}:{self._direct.get(name, 0)}", "council": self.council,
+        fixed = self._upgraded[1] if name == self._upgraded[0] else 0
+        rows = {"fleet": "lab", "listen": f"{HERE}:{fixed or self._direct.get(name, 0)}", "council": self.council,
                 "zone": f"z{int(name[1:]) % self._zones}", "kernel_fences": True, **(self._fleet or {})}
         members = "".join(f'[[members]]\nname = "{end}"\naddress = "{HERE}:'
                           f'{self._port(name, end) if end != name else 1}"\n'
@@ -140,7 +144,7 @@
         scorer = self._scorer(name, home)
         if name in self._clocks:
             scorer.module = ("sagetrestle.lab.clocked", str(self._clocks[name]))
-        await scorer.start(fronts=1 if self._fleet is None else 2)
+        await scorer.start(fronts=(1 if self._fleet is None else 2) + (name == self._upgraded[0]))
         if self._fleet is not None:
             self.links.to(name, scorer.ports["fleet"])
         self.scorers[name] = scorer
@@ -156,8 +160,28 @@
             files["identity.toml"] = identity_toml(self.folder)
         if self._fleet is not None:
             files["fleet.toml"] = self._fleet_toml(name)
-        return ScorerProcess(home, machine.kernel, self.place.settings(), files, name,
-                             self._root, {"kernel": f"{HERE}:{machine.port}"})
+        over = {"kernel": f"{HERE}:{machine.port}"}
+        over |= {"management": f"{HERE}:0"} if name == self._upgraded[0] else {}
+        return ScorerProcess(home, machine.kernel, self.place.settings(), files, name, self._root, over)
+
+    async def upgrade(self) -> ScorerProcess:
+        """Start a newer process of the member that may be upgraded, and give the older one the notice to leave."""
+        name = self._upgraded[0]
+        older = self.scorers[name]
+        kernel = EmulatedKernel(self.place.cores, {one.name: one.work_s for one in self.place.classes},
+                                seed=self._seed + len(self.kernels), spread=0.3)
+        self.kernels.append(kernel)
+        newer = await older.upgrade(kernel, len(self.kernels), "management front listens", 2)
+        self.lost.append((name, self.machines[name].kernel))
+        server, port = await listen(kernel.serve)
+        self.machines[name] = Machine(kernel, server, port)
+        while (await call(newer.ports["management"], "GET", "/api/ready")).status != 200:
+            await asyncio.sleep(0.02)
+        older.process.send_signal(signal.SIGTERM)
+        await asyncio.wait_for(older.process.wait(), 20)
+        self.scorers[name] = newer
+        await newer.logged("fleet front listens")
+        return newer
 
     def lose(self, name: str) -> None:
         """Lose a machine: its kernel ends in the middle of what it runs, and is never heard of again."""
--- a/sagetrestle/net/program/fleet.py
+++ b/sagetrestle/net/program/fleet.py
@@ -145,7 +145,7 @@
     def __init__(self, reactor: Any, fleet: FleetConfig, config: Config, post: Callable[[Input], None],
                  log: Callable[[str], None], now: Callable[[], int],
                  in_thread: Callable[[Callable[[], Any]], Any], upstream: Upstream | None = None) -> None:
-        self._reactor, self._looking = reactor, None
+        self._reactor, self._looking, self._listening = reactor, None, False
         self._upstream = upstream  # new servers, where runs are sent on
         if upstream is not None:
             upstream.fleet = fleet.file.fleet
@@ -175,9 +175,11 @@
 
     def listen(self) -> tuple[str, int]:
         """Take the others' links. Raises CannotListenError."""
+        address = self._config.listen[0], self.links.listen(self._config.listen)
+        self._listening = True
         if self._upstream is not None and self._config.file.verdicts:
             self._look()
-        return self._config.listen[0], self.links.listen(self._config.listen)
+        return address
 
     def close(self) -> None:
         """End all of it."""
@@ -209,6 +211,9 @@
     def perform(self, what: node.Decision) -> None:
         """Carry out what the member decided about the world."""
         match what:
+            case link.Dial(name) if not self._listening:
+                # An older process of this member has its links: to greet now would cut it off on its way out.
+                self._post(FromFleet(link.Dialled(name, None)))
             case link.Dial(name):
                 self.links.dial(name)
             case link.Write(connection, frame):
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -44,6 +44,7 @@
 BACKLOG = 512
 COLLECT = (5_000, 10, 10)  # almost nothing here is part of a cycle: looking for them seldom is enough
 DNS_AGAIN_S = 0.25
+FLEET_AGAIN_S = 0.1
 EXIT_AFTER_S = 0.03  # for the last answers to leave their sockets
 SCGI_FILE, IDENTITY_FILE = Path("deploy/scgi.toml"), Path("deploy/identity.toml")
 LOG_FILE, DISCOVERY_FILE = Path("deploy/log.toml"), Path("deploy/discovery.toml")
@@ -252,7 +253,7 @@
             if self._watch:
                 self._watch.start()
             if self.fleet:
-                self._listens("fleet", *self.fleet.listen())
+                self._listen_fleet(self.fleet)
             if self.config.discovery and self.config.discovery.file.publish:
                 self._publish(self.config.discovery, host, thrift_port)
         except CannotListenError as error:
@@ -280,6 +281,17 @@
         else:
             self._listens("dns", address[0], port)
 
+    def _listen_fleet(self, fleet: FleetHost) -> None:
+        """Take the other members' links; in an upgrade the older process has them until it is gone."""
+        try:
+            host, port = fleet.listen()
+        except CannotListenError:
+            if not self.handover or not self.handover.succeeds:
+                raise
+            self.reactor.callLater(FLEET_AGAIN_S, self._listen_fleet, fleet)
+        else:
+            self._listens("fleet", host, port)
+
     def _open(self, front: Front[Any], host: str, port: int) -> int:
         """Take a front's listening socket and return its port, which the machine chose if it was 0."""
         if self.handover:
--- a/tests/fleet/test_moves.py
+++ b/tests/fleet/test_moves.py
@@ -51,6 +51,19 @@
         self.assertEqual({"served"}, set(await self.under_charges(rig, act)))
         self.check(rig)
 
+    async def test_an_upgrade_of_a_member_while_another_dies_runs_nothing_twice(self):
+        rig = await self.fleet(5, upgraded="n4")
+
+        async def act():
+            upgrading = asyncio.create_task(rig.upgrade())
+            await asyncio.sleep(0.6)
+            await rig.kill("n3")
+            await upgrading
+            await self.until(lambda: "n4" in {self.owner(rig, f"K{at}") for at in range(60)}, 20)
+        hows = await self.under_charges(rig, act)
+        self.assertEqual({"served"}, set(hows))
+        self.check(rig)
+
     async def test_a_whole_zone_lost_under_load_is_gone_on_with_by_the_others(self):
         rig = await self.fleet(6, council=3, zones=3)
         lost = [name for at, name in enumerate(rig.names) if at % 3 == 2]  # one of the council's three among them
