--- a/sagetrestle/lab/translators.py
+++ b/sagetrestle/lab/translators.py
@@ -32,7 +32,7 @@
     def __init__(self, folder: Path, name: str, root: Path, files: Mapping[str, str]) -> None:
         super().__init__(folder, None, {}, files, name, root)  # type: ignore[arg-type]
 
-    async def start(self, fronts: int, ready: str = "front listens") -> TranslatorMember:
+    async def start(self, fronts: int, ready: str = "kernel up") -> TranslatorMember:
         """Start it, and wait until it listens on so many fronts."""
         deploy = self.folder / "deploy"
         deploy.mkdir(parents=True, exist_ok=True)
--- a/tests/net/test_translate.py
+++ b/tests/net/test_translate.py
@@ -102,7 +102,7 @@
             sys.executable, "-B", *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE)
         self.processes.append(self.process)
         self.lines, self.ports = [], {}
-        while waits and len(self.ports) < 2:
+        while waits and (len(self.ports) < 2 or not any("kernel up" in line for line in self.lines)):
             line = (await asyncio.wait_for(self.process.stderr.readline(), PATIENCE_S)).decode()
             self.assertTrue(line, self.lines)
             self.lines.append(line)
