Hold limits to their hard cases: windows that end in cuts, clocks apart, granters that die, a full disk

Grants were acknowledged by backups only with the next beat, as ends of runs are; a holder waits for them, so they are acknowledged at once. A council member whose disk is full loses its voice, another leads, all charges served.

--- a/sagetrestle/takeover/books.py
+++ b/sagetrestle/takeover/books.py
@@ -27,6 +27,7 @@
 INQUIRE_EVERY_US = 250_000  # the same, of servers that do not tell by themselves
 TAIL = 4_096  # entries kept to bring a copy up to date without all of them
 MOST_LOSSES = 2  # owners that one key may cost
+WAITED_FOR = (Kind.INTENT, Kind.GRANT)  # a run, or a holder, waits for the acknowledgement of these alone
 CHUNKS_OUT = 4  # chunks of a transfer that are not acknowledged
 MOST_PLACES = 1_000
 GRANTS_KEPT_US = 120_000_000  # after a window by all clocks, for holders that are late
@@ -493,8 +494,8 @@
             for entry in what.entries[copy.at - what.at:]:
                 self._take(copy, entry)
                 copy.at += 1
-            if all(one.kind is not Kind.INTENT for one in what.entries):
-                copy.owes = True  # a run waits for an intent's acknowledgement only
+            if all(one.kind not in WAITED_FOR for one in what.entries):
+                copy.owes = True
                 return []
         return [self._acknowledge(what.partition, copy, sender)]
 
--- a/tests/fleet/test_hard_cases.py
+++ b/tests/fleet/test_hard_cases.py
@@ -1,6 +1,7 @@
 """The hard cases of work in hand, on real processes: each holds that nothing ran twice and says what came of it."""
 
 import asyncio
+import resource
 import sqlite3
 
 from sagetrestle.lab.processes import charge
@@ -161,6 +162,18 @@
 class DiskTest(HardCase):
     """A council member's store."""
 
+    async def test_a_store_on_a_disk_that_is_full_costs_its_member_the_voice_and_the_fleet_nothing(self):
+        rig = await self.fleet(4, fleet={"store": "council.db"})
+        leader = next(name for name, one in rig.scorers.items() if one.log_has("leads the council"))
+        resource.prlimit(rig.scorers[leader].process.pid, resource.RLIMIT_FSIZE, (0, 0))  # it can write nothing more
+        await rig.kill("n3")  # has the council log something
+        await rig.scorers[leader].logged("the council's store can not be written")
+        await self.until(lambda: any(one.log_has("leads the council") for name, one in rig.scorers.items()
+                                     if name != leader), 15)
+        await self.until(lambda: all(self.owner(rig, f"K{at}", 1) != "n3" for at in range(40)), 15)
+        self.assertEqual({"served"}, set(await self.charges(rig, [f"K{at}" for at in range(8)])))
+        self.check(rig)
+
     async def test_a_store_spoilt_gone_or_of_an_older_day_costs_its_vote_for_a_while_and_nothing_else(self):
         rig = await self.fleet(3, fleet={"store": "council.db"})
         member = next(name for name in rig.council if not rig.scorers[name].log_has("leads the council"))
--- a/tests/takeover/test_books.py
+++ b/tests/takeover/test_books.py
@@ -5,6 +5,7 @@
 from sagetrestle.consensus import core as raft
 from sagetrestle.ownership.values import Arranged, FleetMap, FleetTerms, Founded, Joined, Origin, Place, Share
 from sagetrestle.peers.links import Links
+from sagetrestle.quota import Limit
 from sagetrestle.recovery.effects import EffectError, Entry, Kind, Standing
 from sagetrestle.takeover import books, messages, node
 from sagetrestle.takeover.books import Books, Marks, Resolved, Say, Start, TurnAway, mark
@@ -359,6 +360,77 @@
             self.run_at(A, "run 2")
 
 
+class UnitsTest(BooksCase):
+    """Allowances in the records: told once all backups have them, and known to whoever grants next."""
+
+    LIMIT = Limit("t", 1_000_000_000, 0)
+
+    def setUp(self):
+        super().setUp()
+        self.arrange(Share(5, A, (B, C), (), Origin.NEW))
+        self.told = []
+
+    def hear(self, one, sender, message):
+        if isinstance(message, messages.ToldUnits):
+            self.told.append((message.version, message.total, message.left))
+            return []
+        return super().hear(one, sender, message)
+
+    def ask(self, id, version=0, total=0, wanted=1, cap=40, now=0):
+        ask = messages.AskUnits(0, self.LIMIT.name, cap, version, total, wanted)
+        self.take(id, self.books[id].units(now, now, C, ask, 40, 500))
+
+    def lose(self, owner, others, knows, origin=Origin.KEPT):
+        self.held = {(A, id) for id in (B, C)} | {(id, A) for id in (B, C)}
+        self.arrange(Share(6, owner, others, (), origin), knows=knows)
+
+    def test_a_grant_is_told_once_all_backups_have_its_record(self):
+        self.held = {(C, A)}
+        self.ask(A)
+        self.assertEqual([], self.told)
+        self.held = set()
+        self.passed()
+        self.assertEqual([(1, 3, 37)], self.told)
+
+    def test_a_granter_that_dies_before_the_record_granted_nothing_and_after_it_all(self):
+        self.held = {(A, B)}
+        self.ask(A)
+        self.lose(B, (C,), (B, C))
+        self.ask(B)
+        self.assertEqual([(1, 3, 37)], self.told)  # A's was told to nobody, and B has no record of it
+        self.lose(C, (B,), ())
+        self.arrange(Share(7, C, (B,), (), Origin.KEPT), knows=(B, C))
+        self.ask(C, version=0)
+        self.assertEqual((1, 3, 37), self.told[-1])  # an old word changes nothing, and is told how it stands
+        self.ask(C, version=1, total=3)
+        self.assertEqual((2, 6, 34), self.told[-1])
+
+    def test_where_granter_and_backups_are_gone_nothing_is_granted_in_windows_that_had_begun(self):
+        fresh = Books("d@1", TERMS, WINDOW)
+        fresh.see(self.now, self.now, FleetMap(9, (Share(6, "d@1", (), (), Origin.LOST),), PLACES))
+        for limit, wanted in ((self.LIMIT, 0), (Limit("t", 1_000, 5), 3)):
+            ask = messages.AskUnits(0, limit.name, 40, 0, 0, 3)
+            copy = fresh.copies[0]
+            fresh.units(4_000, 4_000, C, ask, 40, 500)
+            self.assertEqual(wanted, sum(int(one.result) for one in copy.table.grants.get(limit.name, {}).values()))
+
+    def test_a_copy_that_joins_gets_the_grants_and_that_some_are_lost(self):
+        self.ask(A)
+        self.books[A].copies[0].table.grants_lost_us = 77
+        for entry in self.books[A].copies[0].table.living(0):
+            self.books[B].copies[0].table.take(entry)
+        table = self.books[B].copies[0].table
+        self.assertEqual(77, table.grants_lost_us)
+        self.assertEqual(b"3", table.grants[self.LIMIT.name][C].result)
+        table.sweep(self.LIMIT.until_us + 2 * 500 + books.GRANTS_KEPT_US + 1)
+        self.assertEqual({}, table.grants)
+
+    def test_a_window_that_is_over_by_all_clocks_is_granted_no_more(self):
+        self.ask(A, now=self.LIMIT.until_us + 500)
+        self.ask(A, version=1, total=3, now=self.LIMIT.until_us + 501)
+        self.assertEqual([(1, 3, 37), (1, 3, 0)], self.told)
+
+
 class NodeTest(unittest.TestCase):
     """A member's lease, and a leader's."""
 
--- a/tests/takeover/test_fleet_model.py
+++ b/tests/takeover/test_fleet_model.py
@@ -72,6 +72,16 @@
                 ran += len(world.ran)
         self.assertGreater(ran, 0.5 * 8 * 60)
 
+    def test_windows_that_end_during_cuts_by_clocks_that_are_apart(self):
+        windows = 0
+        for seed in range(8):
+            with self.subTest(seed):
+                world = World(seed, cap=15, cap_window=3_000_000)
+                self.assertTrue(world.run(15, world.ready))
+                self.campaign(world)
+                windows += len(world.spent)
+        self.assertGreater(windows, 40)
+
     def campaign(self, world, steps=40):
         """Trouble while charges come; then all heals, and full service has to return."""
         rng, number, world.faults = world.rng, 0, 0
--- a/tests/takeover/world.py
+++ b/tests/takeover/world.py
@@ -19,6 +19,11 @@
 UNIX = 1_796_000_000 * S
 
 
+def hash_of(name):
+    """Return a number from 0 to 1 for a name, the same at each start of the program."""
+    return random.Random(name).random()
+
+
 class Kernel:
     """Runs what it is told, and refuses a token of an epoch before the newest that it knows."""
 
@@ -92,6 +97,7 @@
     def __init__(self, world, name, zone):
         self.world, self.name, self.zone, self.lives = world, name, zone, 0
         self.rate = 1.0 + world.rng.uniform(-1, 1) * world.terms.drift / 2
+        self.ahead = round(world.terms.apart_us * (hash_of(name) - 0.5)) if world.cap else 0
         self.store, self.kernel = Store(), Kernel(world, name)
         self.identity, self.up, self.stopped = f"{name}#0", False, False
         self.begin()
@@ -99,6 +105,10 @@
     def now(self):
         return int(self.world.now * self.rate)
 
+    def unix(self):
+        """Return the time of day, as far from the others' as is stated at the most."""
+        return UNIX + self.world.now + self.ahead
+
     def begin(self):
         self.lives += 1
         self.up, self.stopped, self.backlog = True, False, []
@@ -127,7 +137,7 @@
                 self.backlog.append((name, args))
             return
         try:
-            decisions = getattr(self.node, name)(self.now(), UNIX + self.world.now, *args)
+            decisions = getattr(self.node, name)(self.now(), self.unix(), *args)
         except EffectError:
             return
         for what in decisions:
@@ -192,7 +202,7 @@
             return
         self.count += 1
         id = f"{self.node.me}-{self.count}"
-        unix = UNIX + self.world.now
+        unix = self.unix()
         what = books.Marks(id, "paid", "t", key, b"d")
         verdict = judge(self.node, self.now(), what, unix)
         match verdict.word:
@@ -222,11 +232,13 @@
         """Take a unit of the one tenant's limit, where there is one; whoever must wait comes again."""
         if not self.world.cap:
             return True
-        limit, unix = Limit.at("t", 10_000 * S, UNIX + self.world.now), UNIX + self.world.now
+        unix = self.unix()
+        limit = Limit.at("t", self.world.cap_window, unix)
         word, decisions = self.node.take_unit(self.now(), unix, limit, self.world.cap, id)
         for what in decisions:
             self.carry_out(what)
         self.node.units.forget(limit, id)
+        self.world.spent[limit.name] += word is UnitWord.TAKEN
         return word is UnitWord.TAKEN
 
     def started(self, id, token):
@@ -297,7 +309,7 @@
             self.act("doubtful", at, name)
         else:
             kind = Kind.OUTCOME if how == "done" else Kind.NEVER
-            self.act("ended", at, Entry(kind, name, UNIX + self.world.now, result=result if how == "done" else b""))
+            self.act("ended", at, Entry(kind, name, self.unix(), result=result if how == "done" else b""))
         for id in [id for id, one in self.tries.items() if one[2] == run]:
             self.answer(id, *(("served", result) if how == "done" else ("failed",)))
 
@@ -334,14 +346,15 @@
 class World:
     """All of it, from one seed."""
 
-    def __init__(self, seed, size=5, council=3, terms=None, zones=1, servers=0, checks=True, cap=0):
+    def __init__(self, seed, size=5, council=3, terms=None, zones=1, servers=0, checks=True, cap=0,
+                 cap_window=10_000 * S):
         self.seed, self.rng, self.now, self.count = seed, random.Random(seed), 0, 0
         self.terms = terms or FleetTerms(partitions=8, new=True)
         self.mail, self.ends, self.held, self.cut, self.loss, self.pause = [], {}, [], set(), 0.0, 0.0
         self.poisoned, self.owners_may_overlap = [], False
         self.ran, self.served, self.outcomes, self.kernels = defaultdict(list), {}, Counter(), {}
         self.servers = {one: Server(self, one, checks) for one in (f"s{at}" for at in range(servers))}
-        self.cap = cap
+        self.cap, self.cap_window, self.spent = cap, cap_window, Counter()
         self.names = tuple(f"n{at}" for at in range(size))
         self.council = self.names[:council]
         self.members = {}
@@ -466,7 +479,7 @@
     # What has to hold
 
     def check(self):
-        assert not self.cap or len(self.ran) <= self.cap, f"{len(self.ran)} ran of {self.cap}"
+        assert all(count <= self.cap for count in self.spent.values()), f"{self.spent} of {self.cap}"
         for key, runs in self.ran.items():
             assert len(runs) <= 1, f"{key} ran {runs}"
         owners = {}
