Never refuse a paused class's charge that ran; let go what waits for a granter that is not heard

It is looked at after the window and the records now. A try that waited for a unit failed at its deadline where the granter could not be heard; it is refused after 1 s, as it never ran. Tries that wait leave nothing behind once they are over.

--- a/sagetrestle/net/routing/caps.py
+++ b/sagetrestle/net/routing/caps.py
@@ -14,7 +14,7 @@
 from sagetrestle.net.routing.gate import Word as Pass
 from sagetrestle.net.routing.state import Entry, Phase, State
 from sagetrestle.net.routing.turn import Turn
-from sagetrestle.net.routing.values import Answer, Denied, Request
+from sagetrestle.net.routing.values import Answer, Denied, Refused, Request
 from sagetrestle.quota import Limit, Word
 
 if TYPE_CHECKING:
@@ -23,13 +23,16 @@
     from sagetrestle.takeover.node import Node
 
 
+SILENT_US = 1_000_000  # how long to stay away where nobody can tell what is left
+
+
 class Caps:
     """A judge of the gate."""
 
     def __init__(self, member: Node, guard: Guard) -> None:
         self._node, self._guard = member, guard
         member.cap_of = lambda tenant: cap.charges if (cap := self._cap(tenant)) is not None else None
-        self._waiting: dict[str, dict[str, Limit]] = {}  # tries that wait for a unit, by limit
+        self._waiting: dict[str, Limit] = {}  # tries that wait for a unit, in their order
 
     def _cap(self, tenant: str) -> Cap | None:
         found = self._guard.snapshot.directory.tenants.get(tenant)
@@ -48,12 +51,19 @@
             entry.unit = limit
             return Pass.START
         if word is Word.WAIT:
-            self._waiting.setdefault(limit.name, {})[id] = limit
+            self._waiting[id] = limit
             return Pass.WAIT
+        if word is Word.SILENT:
+            turn.log(f"request {id} not run: who grants {limit.tenant}'s limit is not heard")
+            return self._end(turn, entry, Refused(SILENT_US))
         turn.log(f"request {id} of tenant {limit.tenant} denied: {Cause.SPENT.value}, over the fleet",
                  request=id, tenant=limit.tenant, cause=Cause.SPENT.name.lower())
-        turn.answer(entry, Denied(Cause.SPENT, limit.until_us - unix))
-        turn.events.append(RunEnded(id, Outcome.ERROR))
+        return self._end(turn, entry, Denied(Cause.SPENT, limit.until_us - unix))
+
+    @staticmethod
+    def _end(turn: Turn, entry: Entry, answer: Answer) -> Pass:
+        turn.answer(entry, answer)
+        turn.events.append(RunEnded(entry.request.id, Outcome.ERROR))
         turn.over(entry)
         return Pass.OVER
 
@@ -67,7 +77,8 @@
 
     def ready(self, turn: Turn, limit: Limit) -> None:
         """Ask again for what waited."""
-        for id in self._waiting.pop(limit.name, ()):
+        for id in [id for id, one in self._waiting.items() if one == limit]:
+            del self._waiting[id]
             entry = turn.state.entries.get(id)
             if entry is not None and entry.phase is Phase.WAITING and entry.owed:
                 through_gate(turn, entry)
@@ -87,9 +98,9 @@
     def over(self, turn: Turn, entry: Entry) -> None:
         """Give the unit of a try back that is known never to have run."""
         id = entry.request.id
-        for name, line in self._waiting.items():
-            if line.pop(id, None) is not None:
-                self._node.units.forget(Limit.named(name), id)
+        limit = self._waiting.pop(id, None)
+        if limit is not None:
+            self._node.units.forget(limit, id)
         if entry.unit is None:
             return
         keys = turn.state.keys
--- a/sagetrestle/net/routing/fronts.py
+++ b/sagetrestle/net/routing/fronts.py
@@ -105,9 +105,6 @@
         turn.final(request, Failed(FailCause.OVERDUE))
     elif request.id in state.entries:
         _doubtful(turn, request, "it came before under this id", Failed())
-    elif state.fleet is not None and (wait := state.fleet.paused(turn, request.cls)):
-        connection.proven = True
-        turn.final(request, Refused(wait, last=True))
     elif len(state.entries) + len(state.unverified) >= state.plan.bounds.requests:
         connection.proven = True
         turn.final(request, Refused(NO_ROOM_US))
@@ -147,6 +144,10 @@
     if answer is not None:
         turn.final(request, answer)
         return
+    fleet = turn.state.fleet
+    if fleet is not None and not turn.state.keys.ran_before(request) and (wait := fleet.paused(turn, request.cls)):
+        turn.final(request, Refused(wait, last=True))
+        return
     reserved = False
     if verdict is not None:
         may, reserved = access.admit(turn, request, verdict)
--- a/sagetrestle/quota/holder.py
+++ b/sagetrestle/quota/holder.py
@@ -17,6 +17,7 @@
 IDLE_US = 2_000_000  # without a charge, after which what is not spent goes back
 SHORT_US = 400_000  # for which others are asked to give back, before nothing left is believed
 DENIED_US = 1_000_000  # for which it is believed then
+SILENT_US = 1_000_000  # without a word of the granter, after which what waits is refused
 KEPT_US = 60_000_000  # after its window's end
 
 
@@ -26,6 +27,7 @@
     TAKEN = "one unit is taken for it"
     WAIT = "a unit is asked for"
     NONE = "nothing is left"
+    SILENT = "the granter can not be heard: nobody can tell"
 
 
 class Ask(NamedTuple):
@@ -57,6 +59,7 @@
     asked_us: int | None = None
     short_us: int | None = None  # since when nothing is left
     denied_us: int | None = None  # until when that is believed
+    heard_us: int = 0  # the granter, or when the first began to wait for it
     used_us: int = 0
 
 
@@ -77,6 +80,11 @@
         if one.used >= cap or one.denied_us is not None and now < one.denied_us:
             one.waiting.pop(id, None)
             return Word.NONE
+        if not one.waiting:
+            one.heard_us = now
+        elif now - one.heard_us >= SILENT_US:
+            one.waiting.pop(id, None)
+            return Word.SILENT
         one.waiting[id] = None
         return Word.WAIT
 
@@ -97,6 +105,7 @@
         one = self.accounts.get(name)
         if one is None:
             return []
+        one.heard_us = now
         if version > one.version:
             one.version, one.total = version, total
         if one.used < one.total:
@@ -116,13 +125,14 @@
         one = self.accounts.get(name)
         return [self._ask(now, one)] if one is not None and one.total > one.used and not one.waiting else []
 
-    def passed(self, now: int, unix: int) -> list[Ask]:
+    def passed(self, now: int, unix: int) -> list[Ask | Ready]:
         """Ask again, give back what lies idle, forget windows that are long over."""
-        found = []
+        found: list[Ask | Ready] = []
         for name, one in list(self.accounts.items()):
             due = one.asked_us is None or now - one.asked_us >= AGAIN_US
             if one.waiting and due or one.total > one.used and now - one.used_us >= IDLE_US and due:
                 found.append(self._ask(now, one))
+                found += [Ready(one.limit)] if one.waiting and now - one.heard_us >= SILENT_US else []
             elif not one.waiting and unix > one.limit.until_us + KEPT_US:
                 del self.accounts[name]
         return found
--- a/sagetrestle/takeover/node.py
+++ b/sagetrestle/takeover/node.py
@@ -24,6 +24,7 @@
 from sagetrestle.peers.frames import Answer, Ask
 from sagetrestle.quota import Ask as UnitAsk
 from sagetrestle.quota import Limit, rates
+from sagetrestle.quota import Ready as UnitsReady
 from sagetrestle.quota.holder import Holder as UnitHolder
 from sagetrestle.quota.holder import Word as UnitWord
 from sagetrestle.quota.rates import Granter as ShareGranter
@@ -393,9 +394,11 @@
 
     # Limits
 
-    def _ask_units(self, asks: Iterable[UnitAsk]) -> None:
+    def _ask_units(self, asks: Iterable[UnitAsk | UnitsReady]) -> None:
         for ask in asks:
-            if self.books.map.shares:
+            if isinstance(ask, UnitsReady):
+                self._out.append(Units(ask.limit))
+            elif self.books.map.shares:
                 at, share = self.books.share_of(key_of(ask.limit.tenant))
                 self._say(share.owner, messages.AskUnits(at, ask.limit.name, ask.cap, *ask[2:]))
 
--- a/tests/fleet/test_verdicts.py
+++ b/tests/fleet/test_verdicts.py
@@ -5,6 +5,7 @@
 
 from sagetrestle.lab.load import Planned
 from sagetrestle.lab.place import HERE
+from sagetrestle.lab.translators import translated_charge
 from tests.cli import test_fleet as cli
 from tests.fleet.test_translators import TranslatorCase
 
@@ -61,10 +62,15 @@
         rows = "".join(f'[[members]]\nname = "{name}"\naddress = "{HERE}:{one.ports["fleet"]}"\n'
                        for name, one in rig.scorers.items())
         path.write_text(f'fleet = "lab"\nlisten = "{HERE}:0"\ncouncil = ["t0"]\n{rows}')
-        await self.run_cli("pause", "quick-check", "--who", "Mona", "--why", "ledger", "--file", str(path))
+        ran = translated_charge("K")
+        self.assertEqual("served", (await rig.charge(ran)).how)
+        for cls in ("paid-check", "quick-check"):
+            await self.run_cli("pause", cls, "--who", "Mona", "--why", "ledger", "--file", str(path))
         paused = "class quick-check is paused by Mona: ledger"
         await self.until(lambda: all(one.log_has(paused) for one in rig.scorers.values()))
         self.assertEqual(0.0, await self.load(rig, 0.3))
+        self.assertEqual("served", (await rig.charge(ran._replace(retry=True), 1)).how)  # what ran is never refused
+        self.assertEqual("refused", (await rig.charge(translated_charge("L"), 0, 0.6)).how)
         await rig.kill("t3")
         await rig.begin("t3")  # it learns from the others
         await self.until(lambda: rig.scorers["t3"].log_has(paused))
--- a/tests/quota/test_quota.py
+++ b/tests/quota/test_quota.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as some
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from sagetrestle.quota import Ask, Holder, Limit, Row, Word, decide
-from sagetrestle.quota.holder import AGAIN_US, DENIED_US, IDLE_US, SHORT_US
+from sagetrestle.quota import Ask, Holder, Limit, Ready, Row, Word, decide
+from sagetrestle.quota.holder import AGAIN_US, DENIED_US, IDLE_US, SHORT_US, SILENT_US
 
 CAP = 10
 LIMIT = Limit("t", 1_000_000, 7)
@@ -69,6 +69,14 @@
         self.assertIs(Word.NONE, self.take(SHORT_US))
         self.assertIs(Word.WAIT, self.take(SHORT_US + DENIED_US))
 
+    def test_what_waits_for_a_granter_that_is_not_heard_is_let_go_after_a_second(self):
+        self.assertIs(Word.WAIT, self.take(0))
+        self.assertIn(Ready(LIMIT), self.holder.passed(SILENT_US, 0))
+        self.assertIs(Word.SILENT, self.take(SILENT_US))
+        self.assertIs(Word.WAIT, self.take(SILENT_US + 1, "j"))
+        self.holder.told(2 * SILENT_US, LIMIT.name, 0, 0, 5)
+        self.assertIs(Word.WAIT, self.take(2 * SILENT_US + 2, "k"))
+
     def test_a_cap_lowered_here_binds_at_once(self):
         self.take()
         self.holder.told(0, LIMIT.name, 1, 5, 5)
@@ -142,7 +150,7 @@
     def passes(self, wait):
         self.now += wait
         for name, one in self.holders.items():
-            self.post(name, one.passed(self.now, 0))
+            self.post(name, [one for one in one.passed(self.now, 0) if isinstance(one, Ask)])
 
     @rule(data=some.data())
     def die(self, data):
