--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -10,6 +10,7 @@
 import asyncio
 import json
 import random
+import statistics
 import tempfile
 import time
 import tracemalloc
@@ -25,6 +26,7 @@
 from sagetrestle.quota import Holder, Limit, Row, decide
 from sagetrestle.quota.rates import AskShare, Granter, RateHolder
 from sagetrestle.verdicts import AGE_US, Spread, Subject, convicted
+from tests.takeover.world import World
 
 BEAT_US = 100_000
 BAD = Subject("server", "s0", 1)
@@ -124,6 +126,39 @@
            f"({took * 1e6 / tenants / 4:.1f} µs a step, traced)"
 
 
+def locked(seeds: int, share: float, cap: int = 600, size: int = 6) -> str:
+    """Return what of a cap can not be used while a share of the members is cut off, and once they are back."""
+    during, after = [], []
+    for seed in range(seeds):
+        world = World(seed, size, cap=cap)
+        assert world.run(30, world.ready)
+        number = 0
+
+        def ask(count: int, names: list[str], world: World = world) -> None:
+            nonlocal number
+            for _ in range(count):
+                number += 1
+                world.members[world.rng.choice(names)].unit(f"x{number}")
+        for _ in range(60):
+            ask(4, list(world.names))
+            world.run(0.05)
+        out = set(world.names[size - round(share * size):])
+        world.part((a, b) for a in world.names for b in world.names if (a in out) != (b in out))
+        before = sum(world.spent.values())
+        for _ in range(200):
+            ask(12, [name for name in world.names if name not in out])
+            world.run(0.05)
+        during.append((cap - sum(world.spent.values())) / cap)
+        world.heal()
+        for _ in range(200):
+            ask(12, list(world.names))
+            world.run(0.05)
+        after.append((cap - sum(world.spent.values())) / cap)
+        assert before < cap
+    return (f"  {share:.0%} of {size} members cut off: of a cap of {cap}, {statistics.median(during):.1%} can not be "
+            f"used by the others at the median and {max(during):.1%} at most; once they are back {max(after):.1%}")
+
+
 def pace(count: int = 100_000) -> str:
     """Return the time of one decision of each kind, without tracing."""
     holder, rates, limit = Holder(), RateHolder(), Limit("t", 86_400_000_000, 20_000)
@@ -198,6 +233,8 @@
         for loss in (0.0, 0.2):
             print(spread(count, loss, 10 if count < 1_000 else 2), flush=True)
     print(wrongful(100), flush=True)
+    for share in (1 / 6, 1 / 3, 1 / 2):
+        print(locked(10, share), flush=True)
     print(pace(), flush=True)
     for tenants in (100, 10_000, 100_000):
         print(memory(tenants), flush=True)
--- a/sagetrestle/cli/fleet.py
+++ b/sagetrestle/cli/fleet.py
@@ -242,12 +242,17 @@
 @click.option("--kind", "kinds", multiple=True,
               type=click.Choice(["kill", "lose", "stop", "cut", "one-way", "loss", "heal", "restart"]),
               help="Only these faults; may be repeated.")
-def drill(seed: int, size: int, seconds: float, rate: float, kinds: tuple[str, ...]) -> None:
+@click.option("--servers", type=click.IntRange(0, 10), default=0, show_default=True,
+              help="New servers: the members are translators then, whose lists differ.")
+@click.option("--cap", type=click.IntRange(0, 100_000), default=0, show_default=True,
+              help="All charges are one tenant's, who may spend so many over the fleet.")
+def drill(seed: int, size: int, seconds: float, rate: float, kinds: tuple[str, ...], servers: int, cap: int) -> None:
     """Start a fleet on this machine, make trouble, and show what came of it. Exit code 1 if a promise was broken."""
     from sagetrestle.lab.campaign import campaign
 
     async def run() -> Any:
-        task = asyncio.ensure_future(campaign(seed, size, seconds, rate, kinds=kinds))
+        task = asyncio.ensure_future(campaign(
+            seed, size, seconds, rate, kinds=kinds, servers=servers, cap=0 if servers else cap))
         while not task.done():
             click.echo(".", nl=False)
             await asyncio.wait([task], timeout=1.0)
@@ -258,6 +263,10 @@
     click.echo(f"faults: {', '.join(f'{kind} {count}' for kind, count in sorted(report.faults.items())) or 'none'}; "
                f"{report.refused_epochs} commands of an old epoch refused; "
                f"a charge took {report.point(0.5):.2f} s (p50), {report.point(0.99):.2f} s (p99)")
-    for one in report.findings.broken:
+    broken = list(report.findings.broken)
+    if report.cap:
+        click.echo(f"cap {report.cap}: {report.runs} ran")
+        broken += [f"{report.over} over the cap"] if report.over else []
+    for one in broken:
         click.echo(f"BROKEN {one}")
-    sys.exit(bool(report.findings.broken))
+    sys.exit(bool(broken))
