--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -179,7 +179,7 @@
 async def paused(size: int, rounds: int) -> str:
     """Return how soon an operator's order is heeded by all of so many processes."""
     with tempfile.TemporaryDirectory() as name:
-        rig = TranslatorRig(Path(name), size, servers=1, fleet={"partitions": 16, "new": True}, relays=False)
+        rig = TranslatorRig(Path(name), size, servers=1, fleet={"partitions": 16, "new": True})
         try:
             await rig.start()
             times = []
@@ -208,7 +208,7 @@
     """Return the requests that a server got that fails all of them."""
     with tempfile.TemporaryDirectory() as name:
         fleet = {"partitions": 16, "new": True, "verdicts": verdicts}
-        rig = TranslatorRig(Path(name), size, servers=4, fleet=fleet, relays=False, seed=seed)
+        rig = TranslatorRig(Path(name), size, servers=4, fleet=fleet, seed=seed)
         try:
             await rig.start()
             rig.servers["s0"].faults.fail_share = 1.0
--- a/benchmarks/loss.py
+++ b/benchmarks/loss.py
@@ -43,11 +43,16 @@
         return self.timely[(second, cls)] / max(1, self.asked[(second, cls)])
 
 
-async def loss(lost: list[str], load: float, seconds: float, seed: int) -> tuple[Seconds, list[float], str]:
-    """Lose members with their machines under load; return the seconds, times of charges asked then, and findings."""
+async def loss(lost: list[str], load: float, seconds: float, seed: int, restart: bool = False,
+               fleet: bool = True) -> tuple[Seconds, list[float], str]:
+    """Lose members with their machines under load; return the seconds, times of charges asked then, and findings.
+
+    With ``restart`` their processes are started again at once, on machines that went on.
+    """
     place = Place(cores=2, classes=CLASSES, servers=SIZE, window_us=WINDOW_US)
     with tempfile.TemporaryDirectory() as name:
-        rig = Rig(Path(name), SIZE, place, seed=seed, fleet=dict(FLEET), zones=ZONES, relays=False)
+        rows = {**FLEET, "store": "council.db"} if fleet else None
+        rig = Rig(Path(name), SIZE, place, seed=seed, fleet=rows, zones=ZONES, relays=False)
         try:
             await rig.start()
             found, took = Seconds(), []
@@ -67,6 +72,9 @@
             async def trouble() -> None:
                 await asyncio.sleep(AT_S)
                 await asyncio.gather(*(rig.kill(one) for one in lost))
+                if restart:
+                    await asyncio.gather(*(rig.begin(one) for one in lost))
+                    return
                 for one in lost:
                     rig.lose(one)
             task = asyncio.create_task(trouble())
@@ -84,8 +92,24 @@
 @click.command()
 @click.option("--seconds", default=14.0, show_default=True)
 @click.option("--load", "loads", multiple=True, type=float, default=(0.7, 1.3), show_default=True)
-def main(seconds: float, loads: tuple[float, ...]) -> None:
+@click.option("--restart", is_flag=True, help="All are killed at once and started again, without a fleet and with.")
+def main(seconds: float, loads: tuple[float, ...], restart: bool) -> None:
     """Print service by second for each loss at each load."""
+    if restart:
+        print(heading(f"{SIZE} members killed at second {AT_S:g} and started again at once"), flush=True)
+        for load in loads:
+            for fleet in (False, True):
+                found, _, line = asyncio.run(loss([f"n{at}" for at in range(SIZE)], load, seconds, 7, True, fleet))
+                print(f"  load {load:g}, fleet {'on' if fleet else 'off'}: {line}", flush=True)
+                for what, cls in (("safe", "quick-check"), ("charges", "paid-check")):
+                    shares = [found.share(at, cls) for at in range(int(seconds))]
+                    before = min(shares[1:int(AT_S)])
+                    back = next((at for at in range(int(AT_S) + 1, int(seconds) - 2)
+                                 if min(shares[at:at + 3]) >= 0.99 * before), None)
+                    print(f"    {what}: " + " ".join(f"{share:.2f}" for share in shares) + (
+                        f"; as before after {back - AT_S:.0f} s" if back is not None else "; not as before in time"),
+                        flush=True)
+        return
     print(heading(f"{SIZE} members in {ZONES} zones, lost at second {AT_S:g} with their machines"), flush=True)
     third = ["n1", "n5"]  # of different zones
     for load in loads:
