Keep records on members' disks: a fleet whose members were all killed goes on in seconds

Now each member writes its copies before it acknowledges or starts anything (records in fleet.toml), and a later start of a partition's owner or backup goes on with them, by the label under which they were kept.

Found on the way: a try that its member refused after the module had started it left its key bound at the module, so that tries after it failed for the window (Fleet._end ended it as an error; now as what it is, never run).

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -15,6 +15,7 @@
 import click
 
 from benchmarks.machine import heading
+from sagetrestle.ownership.values import FleetTerms
 from tests.takeover.test_fleet_model import FleetModelTest
 from tests.takeover.world import World
 
@@ -32,14 +33,20 @@
     broken: str = ""
 
 
-def one_seed(seed: int, size: int, council: int, servers: int, steps: int) -> SeedReport:
-    """Run one seed; translators where there are servers, every third of which check no tokens."""
+def one_seed(seed: int, size: int, council: int, servers: int, steps: int, records: bool) -> SeedReport:
+    """Run one seed; translators where there are servers, every third of which check no tokens.
+
+    With ``records`` members keep them, and most or all are killed at once, three times.
+    """
     began = time.perf_counter()
-    world = World(seed, size, council, servers=servers, checks=seed % 3 > 0)
+    terms = FleetTerms(partitions=8, new=True, records=records)
+    world = World(seed, size, council, terms, servers=servers, checks=seed % 3 > 0)
     asked, broken = 0, ""
     try:
         if world.run(30, world.ready):
             asked = FleetModelTest().campaign(world, steps)
+            if records:
+                FleetModelTest().returns(world)
         else:
             broken = "never ready"
     except AssertionError as error:
@@ -55,13 +62,15 @@
 @click.option("--council", default=3, show_default=True)
 @click.option("--servers", default=0, show_default=True, help="New servers: the members are translators then.")
 @click.option("--steps", default=40, show_default=True, help="Faults a seed.")
+@click.option("--records", is_flag=True, help="Members keep records; most or all are killed at once.")
 @click.option("--jobs", default=2, show_default=True)
-def main(seeds: int, first: int, size: int, council: int, servers: int, steps: int, jobs: int) -> None:
+def main(seeds: int, first: int, size: int, council: int, servers: int, steps: int, records: bool, jobs: int) -> None:
     """Run seeds, and print the sums; exit code 1 if anything was broken."""
     print(heading(f"{seeds} seeds of the model, {size} members, {servers} servers"), flush=True)
     total, broken, hours, took = Counter(), [], 0.0, 0.0
     with ProcessPoolExecutor(jobs) as pool:
-        works = [pool.submit(one_seed, seed, size, council, servers, steps) for seed in range(first, first + seeds)]
+        works = [pool.submit(one_seed, seed, size, council, servers, steps, records)
+                 for seed in range(first, first + seeds)]
         for number, work in enumerate(works, 1):
             one = work.result()
             total += Counter(asked=one.asked, served=one.served, ran=one.ran, faults=one.faults)
--- a/benchmarks/loss.py
+++ b/benchmarks/loss.py
@@ -44,7 +44,7 @@
 
 
 async def loss(lost: list[str], load: float, seconds: float, seed: int, restart: bool = False,
-               fleet: bool = True) -> tuple[Seconds, list[float], str]:
+               fleet: bool = True, records: bool = False) -> tuple[Seconds, list[float], str]:
     """Lose members with their machines under load; return the seconds, times of charges asked then, and findings.
 
     With ``restart`` their processes are started again at once, on machines that went on.
@@ -52,6 +52,7 @@
     place = Place(cores=2, classes=CLASSES, servers=SIZE, window_us=WINDOW_US)
     with tempfile.TemporaryDirectory() as name:
         rows = {**FLEET, "store": "council.db"} if fleet else None
+        rows = {**rows, "records": "records.db"} if rows is not None and records else rows
         rig = Rig(Path(name), SIZE, place, seed=seed, fleet=rows, zones=ZONES, relays=False)
         try:
             await rig.start()
@@ -98,9 +99,11 @@
     if restart:
         print(heading(f"{SIZE} members killed at second {AT_S:g} and started again at once"), flush=True)
         for load in loads:
-            for fleet in (False, True):
-                found, _, line = asyncio.run(loss([f"n{at}" for at in range(SIZE)], load, seconds, 7, True, fleet))
-                print(f"  load {load:g}, fleet {'on' if fleet else 'off'}: {line}", flush=True)
+            for fleet, records in ((False, False), (True, False), (True, True)):
+                found, _, line = asyncio.run(
+                    loss([f"n{at}" for at in range(SIZE)], load, seconds, 7, True, fleet, records))
+                print(f"  load {load:g}, fleet {'on' if fleet else 'off'}{', records kept' if records else ''}: {line}",
+                      flush=True)
                 for what, cls in (("safe", "quick-check"), ("charges", "paid-check")):
                     shares = [found.share(at, cls) for at in range(int(seconds))]
                     before = min(shares[1:int(AT_S)])
--- a/sagetrestle/net/program/fleet.py
+++ b/sagetrestle/net/program/fleet.py
@@ -18,7 +18,9 @@
 from sagetrestle.consensus import core as raft
 from sagetrestle.forms import decoded
 from sagetrestle.net.protocol.fences import Fates
-from sagetrestle.net.routing.fleet import HANDLERS, FateTold, Fleet, SeatTaken, Seen, StoreDone, join_fleet
+from sagetrestle.net.routing.fleet import (
+    HANDLERS, FateTold, Fleet, RecordsKept, SeatTaken, Seen, StoreDone, join_fleet,
+)
 from sagetrestle.net.routing.inputs import FromFleet, Input
 from sagetrestle.net.routing.caps import join_caps
 from sagetrestle.net.routing.keys import MARGIN_US
@@ -28,6 +30,7 @@
 from sagetrestle.peers import links as link
 from sagetrestle.recovery.effects import Kind
 from sagetrestle.store.database import StoreError
+from sagetrestle.store.records import RecordStore
 from sagetrestle.store.votes import SpoiltStore, VoteStore, set_aside
 from sagetrestle.takeover import books, node
 from sagetrestle.takeover.messages import MapTold
@@ -35,6 +38,7 @@
 if TYPE_CHECKING:
     from sagetrestle.net.program.config import Config
     from sagetrestle.net.program.upstream import Upstream
+    from sagetrestle.takeover.changes import Change
     from sagetrestle.verdicts import Subject
 
 MS = 1_000
@@ -62,6 +66,7 @@
     council: Annotated[list[Name], msgspec.Meta(min_length=1, max_length=7)]
     members: Annotated[list[MemberRow], msgspec.Meta(min_length=1, max_length=3_000)]
     store: str = ""
+    records: str = ""
     zone: str = ""
     weight: Annotated[int, msgspec.Meta(ge=1, le=1_000)] = 1
     partitions: Annotated[int, msgspec.Meta(ge=1, le=4_096)] = 64
@@ -88,12 +93,13 @@
     listen: tuple[str, int]
     addresses: tuple[tuple[str, tuple[str, int]], ...]
     store: Path | None
+    records: Path | None = None
 
     def terms(self) -> FleetTerms:
         """Return the terms of ownership."""
         file = self.file
         return FleetTerms(file.partitions, file.backups, file.least_backups, file.lease_ms * MS, file.clock_drift,
-                          file.moves, file.lost_after_ms * MS, file.clocks_apart_ms * MS, file.new)
+                          file.moves, file.lost_after_ms * MS, file.clocks_apart_ms * MS, bool(file.records), file.new)
 
     def raft(self) -> raft.Terms:
         """Return the terms of the council."""
@@ -122,7 +128,8 @@
             raise FleetFileError("heartbeat_ms: must be a third of election_ms at most")
         addresses = tuple((one.name, _address(one.address, f"members: {one.name}")) for one in file.members)
         return FleetConfig(file, _address(file.listen, "listen"), addresses,
-                           path.parent.parent / file.store if file.store else None)
+                           path.parent.parent / file.store if file.store else None,
+                           path.parent.parent / file.records if file.records else None)
     except (OSError, FleetFileError) as error:
         raise FleetFileError(f"{path.name}: {error}") from None
 
@@ -163,6 +170,7 @@
         # Arrivals are stamped by clocks that may be apart, and a key must not be free here before it is anywhere.
         self.node = node.Node(place, self._council, fleet.terms(), links,
                               window + MARGIN_US + file.clocks_apart_ms * MS, seat)
+        self._records = self._restored(fleet.records) if fleet.records is not None else None
         self.links = PeerLinks(reactor, dict(fleet.addresses), lambda event: post(FromFleet(event)))
         self._kernels = KernelAsker(reactor, self._told)
 
@@ -188,6 +196,18 @@
         self.links.close()
         self._kernels.close()
 
+    def _restored(self, path: Path) -> RecordStore:
+        """Take up the records that the start before left, or begin with none where they may not be used."""
+        store = RecordStore(path, self.node.me)
+        try:
+            self.node.restore(store.read())
+        except StoreError as error:
+            store.close()
+            self._log(f"records: {error}; they are set aside as {set_aside(path).name}")
+            store = RecordStore(path, self.node.me)
+            self.node.restore({})
+        return store
+
     def _seat(self) -> raft.Raft:
         """Return the seat that the store leaves, or one on an empty store where it may not be used."""
         self._lives += 1
@@ -222,6 +242,8 @@
                 self.links.end(connection)
             case node.Persist(write):
                 self._persist(write)
+            case node.Keep(changes) if self._records is not None:
+                self._keep(self._records, changes)
             case node.Forget(why):
                 self._forget(why)
             case books.Fence():
@@ -256,6 +278,13 @@
         self._in_thread(lambda: store.write(write)).addCallbacks(
             lambda _: self._post(FromFleet(StoreDone(True))), failed)
 
+    def _keep(self, store: RecordStore, changes: tuple[Change, ...]) -> None:
+        def failed(reason: Any) -> None:
+            self._log(f"records: {reason.getErrorMessage()}")
+            self._post(FromFleet(RecordsKept(False)))
+        self._in_thread(lambda: store.write(changes)).addCallbacks(
+            lambda _: self._post(FromFleet(RecordsKept(True))), failed)
+
     def _forget(self, why: str) -> None:
         """Begin with an empty store: the one there is was an older copy."""
         self._log(f"council: the store is older than what was said from it: {why}")
--- a/sagetrestle/net/routing/caps.py
+++ b/sagetrestle/net/routing/caps.py
@@ -63,7 +63,8 @@
     @staticmethod
     def _end(turn: Turn, entry: Entry, answer: Answer) -> Pass:
         turn.answer(entry, answer)
-        turn.events.append(RunEnded(entry.request.id, Outcome.ERROR))
+        turn.state.keys.never_ran(entry.request)
+        turn.events.append(RunEnded(entry.request.id, Outcome.FULL))
         turn.over(entry)
         return Pass.OVER
 
--- a/sagetrestle/net/routing/fleet.py
+++ b/sagetrestle/net/routing/fleet.py
@@ -41,6 +41,12 @@
     done: bool
 
 
+class RecordsKept(NamedTuple):
+    """Changes of this member's copies are durable; False: they can not be."""
+
+    done: bool
+
+
 class FateTold(NamedTuple):
     """A kernel or a server told what became of a run; ``fenced``: it takes nothing of an earlier epoch any more."""
 
@@ -64,7 +70,7 @@
     seat: Raft
 
 
-FleetEvent = links.Event | StoreDone | FateTold | Seen | SeatTaken
+FleetEvent = links.Event | StoreDone | RecordsKept | FateTold | Seen | SeatTaken
 
 
 class Fleet:
@@ -193,8 +199,11 @@
     def _end(self, turn: Turn, entry: Entry, answer: Answer) -> None:
         """Answer a try that the module had started, and that does not run here."""
         turn.answer(entry, answer)
-        good = isinstance(answer, Served)
-        turn.events.append(RunEnded(entry.request.id, Outcome.OK if good else Outcome.ERROR))
+        outcome = Outcome.OK if isinstance(answer, Served) else Outcome.ERROR
+        if isinstance(answer, Refused):  # it never ran: what repeats it is to be looked at anew
+            turn.state.keys.never_ran(entry.request)
+            outcome = Outcome.FULL
+        turn.events.append(RunEnded(entry.request.id, outcome))
         turn.over(entry)
 
     def _record(self, turn: Turn, entry: Entry, verdict: Verdict) -> Pass:
@@ -284,6 +293,8 @@
         match event:
             case StoreDone(done):
                 decisions = self.node.persisted(now, unix, done)
+            case RecordsKept(done):
+                decisions = self.node.kept(now, unix, done)
             case FateTold():
                 decisions = self.node.fate(now, unix, *event)
             case Seen(servers):
--- a/sagetrestle/ownership/planner.py
+++ b/sagetrestle/ownership/planner.py
@@ -10,11 +10,11 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Set
+from collections.abc import Mapping, Set
 
 import msgspec
 
-from sagetrestle.ownership.values import SEVERAL, FleetMap, FleetTerms, Origin, Place, Share
+from sagetrestle.ownership.values import SEVERAL, FleetMap, FleetTerms, Origin, Place, Share, name_of
 
 Synced = frozenset[tuple[int, int, str]]  # partition, epoch, member that has all records
 
@@ -23,7 +23,9 @@
     """One plan."""
 
     def __init__(self, known: FleetMap, alive: Set[str], leaving: Set[str], synced: Synced, terms: FleetTerms,
-                 patient: Set[int] = frozenset(), unclear: Set[int] = frozenset()) -> None:
+                 patient: Set[int] = frozenset(), unclear: Set[int] = frozenset(),
+                 claims: Mapping[str, Set[tuple[int, int, str]]] | None = None) -> None:
+        self._claims = claims or {}  # by member: partition, label, and the start before whose copy it has
         self._patient = patient  # partitions without an owner, whose records may come back with a silent member
         self._unclear = unclear  # partitions of whose owner before the lease may still last
         self._map, self._alive, self._leaving, self._synced, self._terms = known, alive, leaving, synced, terms
@@ -66,12 +68,13 @@
                 backups = tuple(id for id in backups if id != better) + (owner,)
                 owner = better
         else:
-            ready = [id for id in backups if id not in self._leaving] or list(backups)
+            ready = [id for id in backups if id not in self._leaving] or list(backups) or self._restored(at, share)
             if not ready and at in self._patient:
                 return share
             if ready:
                 owner = min(ready, key=lambda id: (self._load(id), id))
                 backups = tuple(id for id in backups if id != owner)
+                joining = tuple(id for id in joining if id != owner)
             else:
                 founded = not share.owner and share.origin is Origin.NEW
                 origin, owner = Origin.NEW if founded else Origin.LOST, min(
@@ -85,6 +88,13 @@
         joining = self._filled(owner, backups, joining)
         return Share(share.epoch, owner, backups, joining, origin, before)
 
+    def _restored(self, at: int, share: Share) -> list[str]:
+        """Return members that are later starts of the owner or a backup, and that have what that one kept."""
+        held = (share.owner, *share.backups)
+        return [id for id in self._able if any(
+            place == at and label <= share.epoch and old in held and name_of(old) == name_of(id)
+            for place, label, old in self._claims.get(id, ()))]
+
     def _load(self, id: str) -> float:
         return self._owned[id] / max(1, self._places[id].weight)
 
--- a/sagetrestle/ownership/values.py
+++ b/sagetrestle/ownership/values.py
@@ -136,4 +136,5 @@
     moves: int = 8  # partitions on their way to a better place at a time
     lost_after_us: int = 5_000_000  # how long members that are silent with all there is of records are waited for
     apart_us: int = 500_000  # how far two members' time of day may be apart
+    records: bool = False  # members keep their copies of records on disk
     new: bool = False  # the fleet has never run: no key can be in doubt
--- /dev/null
+++ b/sagetrestle/store/records.py
@@ -0,0 +1,102 @@
+"""A member's copies of partitions, for the member that starts after it under its name. One SQLite file.
+
+A change is durable before anything that relies on it is said. Each row has a checksum; a file in which one does not
+hold is not used at all. The file is of one start of a process at a time: an earlier one that goes on can write no more.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from pathlib import Path
+
+import msgspec
+
+from sagetrestle.recovery.effects import Entry, Kind
+from sagetrestle.store.database import StoreError, open_lasting, signed_sum, told
+from sagetrestle.takeover.changes import Change, Dropped, Grew, Labelled, Whole
+
+FORMAT = 1
+
+
+class _Row(msgspec.Struct, array_like=True):
+    kind: str
+    key: str
+    at_us: int
+    server: str
+    boot: int
+    digest: bytes
+    result: bytes
+
+
+class RecordStore:
+    """One file, taken over by ``me``. Not for two threads at once."""
+
+    def __init__(self, path: Path, me: str, most_bytes: int = 1 << 30) -> None:
+        self._me = me
+        self._db, version = open_lasting(path, most_bytes, (FORMAT,))
+        try:
+            self._db.execute("BEGIN IMMEDIATE")
+            if not version:
+                self._db.execute("CREATE TABLE words(name TEXT PRIMARY KEY, data TEXT NOT NULL)")
+                self._db.execute("CREATE TABLE copies(part INTEGER PRIMARY KEY, label INTEGER NOT NULL, "
+                                 "id TEXT NOT NULL, sum INTEGER NOT NULL)")
+                self._db.execute("CREATE TABLE entries(seq INTEGER PRIMARY KEY, part INTEGER NOT NULL, "
+                                 "data BLOB NOT NULL, sum INTEGER NOT NULL)")
+                self._db.execute("CREATE INDEX entries_part ON entries(part)")
+                self._db.execute(f"PRAGMA user_version={FORMAT}")
+            self._db.execute("INSERT OR REPLACE INTO words(name, data) VALUES('me', ?)", (me,))
+            self._db.execute("COMMIT")
+        except sqlite3.Error as error:
+            raise told(error) from None
+
+    def read(self) -> dict[int, tuple[int, str, tuple[Entry, ...]]]:
+        """Return what starts before left: by partition the label, whose copy it is, and entries. Raises StoreError."""
+        try:
+            found: dict[int, tuple[int, str, list[Entry]]] = {}
+            for part, label, id, total in self._db.execute("SELECT part, label, CAST(id AS TEXT), sum FROM copies"):
+                if total != signed_sum(f"{part}\0{label}\0{id}".encode()):
+                    raise StoreError(f"the records are spoilt at partition {part}")
+                found[part] = (label, id, [])
+            for seq, part, data, total in self._db.execute(
+                    "SELECT seq, part, CAST(data AS BLOB), sum FROM entries ORDER BY seq"):
+                if total != signed_sum(b"%d\0%s" % (part, data)):
+                    raise StoreError(f"the records are spoilt at entry {seq}")
+                if part in found:
+                    row = msgspec.msgpack.decode(data, type=_Row)
+                    found[part][2].append(Entry(Kind(row.kind), row.key, row.at_us, row.server, row.boot, row.digest,
+                                                row.result))
+            return {part: (label, id, tuple(entries)) for part, (label, id, entries) in found.items()}
+        except (sqlite3.Error, msgspec.MsgspecError, ValueError) as error:
+            raise StoreError(f"the records can not be read: {error}") from None
+
+    def write(self, changes: tuple[Change, ...]) -> None:
+        """Make changes durable, all or none. Raises StoreError."""
+        try:
+            self._db.execute("BEGIN IMMEDIATE")
+            if self._db.execute("SELECT data FROM words WHERE name='me'").fetchone() != (self._me,):
+                self._db.execute("ROLLBACK")
+                raise StoreError("the records are another start's by now")
+            for one in changes:
+                self._apply(one)
+            self._db.execute("COMMIT")
+        except sqlite3.Error as error:
+            if self._db.in_transaction:
+                self._db.execute("ROLLBACK")
+            raise told(error) from None
+
+    def _apply(self, change: Change) -> None:
+        at = change.partition
+        if isinstance(change, Dropped | Whole):
+            self._db.execute("DELETE FROM entries WHERE part = ?", (at,))
+            self._db.execute("DELETE FROM copies WHERE part = ?", (at,))
+        if isinstance(change, Labelled | Whole):
+            self._db.execute("INSERT OR REPLACE INTO copies(part, label, id, sum) VALUES(?, ?, ?, ?)", (
+                at, change.label, self._me, signed_sum(f"{at}\0{change.label}\0{self._me}".encode())))
+        if isinstance(change, Grew | Whole):
+            self._db.executemany("INSERT INTO entries(part, data, sum) VALUES(?, ?, ?)", (
+                (at, data, signed_sum(b"%d\0%s" % (at, data))) for one in change.entries
+                for data in (msgspec.msgpack.encode(_Row(one.kind.value, *one[1:])),)))
+
+    def close(self) -> None:
+        """Close the file."""
+        self._db.close()
--- a/sagetrestle/takeover/books.py
+++ b/sagetrestle/takeover/books.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -19,6 +19,7 @@
 from sagetrestle.quota import Limit, Row, decide
 from sagetrestle.recovery.effects import Effect, EffectError, EffectTable, Entry, Kind, Standing
 from sagetrestle.takeover import messages
+from sagetrestle.takeover.changes import Change, Dropped, Grew, Labelled, Whole
 from sagetrestle.takeover.messages import BYTES_A_MESSAGE, ENTRIES_A_MESSAGE, FleetMessage
 
 LATE_US = 50_000  # for which the end of a run may wait for others: a run waits for intents only
@@ -28,6 +29,7 @@
 TAIL = 4_096  # entries kept to bring a copy up to date without all of them
 MOST_LOSSES = 2  # owners that one key may cost
 WAITED_FOR = (Kind.INTENT, Kind.GRANT)  # a run, or a holder, waits for the acknowledgement of these alone
+WHOLE_AFTER = 4_096  # entries, after which a copy is kept anew
 CHUNKS_OUT = 4  # chunks of a transfer that are not acknowledged
 MOST_PLACES = 1_000
 GRANTS_KEPT_US = 120_000_000  # after a window by all clocks, for holders that are late
@@ -134,6 +136,14 @@
     sent_us: int = 0
 
 
+class Kept(NamedTuple):
+    """What a start before under this name kept of a partition; ``id`` is whose copy it was."""
+
+    label: int
+    id: str
+    table: EffectTable
+
+
 @dataclass(slots=True)
 class Copy:
     """One partition here."""
@@ -175,6 +185,9 @@
         self.copies: dict[int, Copy] = {}
         self._telling: dict[tuple[int, str], Entry] = {}  # ends of runs whose partition has another owner now
         self._tell_us = 0
+        self.changes: list[Change] | None = None  # since they were taken, where somebody keeps them
+        self._grown: dict[int, int] = {}  # entries since a copy was written whole
+        self.kept: dict[int, Kept] = {}  # of starts before under this name
         self.places: dict[str, Place] = {}  # members that are or were, as long as a run of theirs may be asked after
         self.taken_over = self.adopted = self.freed = 0
 
@@ -228,7 +241,7 @@
         if copy.table.standing(entry.key, entry.at_us) is not Standing.FREE:
             raise EffectError(f"key {entry.key!r}: is recorded already")
         copy.table.take(entry)
-        self._extend(copy, entries)
+        self._extend(at, copy, entries)
         copy.asks.append((copy.at, id))
         return [*self._stream(now, at, copy), *self._started(copy, at)]
 
@@ -246,7 +259,7 @@
             copy.table.take(entry)
         except EffectError as error:
             return [Note(f"record not taken: {error}")]
-        self._extend(copy, [entry])
+        self._extend(at, copy, [entry])
         copy.late_us = copy.late_us or now + LATE_US
         return []
 
@@ -269,7 +282,7 @@
             entry = Entry(Kind.GRANT, ask.limit, limit.until_us + 2 * apart_us + GRANTS_KEPT_US, sender, row.version,
                           result=b"%d" % row.total)
             copy.table.take(entry)
-            self._extend(copy, [entry])
+            self._extend(ask.partition, copy, [entry])
         told = messages.ToldUnits(ask.limit, row.version, row.total, 0 if over or unknown else left)
         copy.asks.append((copy.at, Say(sender, told)))
         if ask.wanted and left <= 0:
@@ -277,7 +290,45 @@
                           if holder != sender and one.total]
         return [*decisions, *self._stream(now, ask.partition, copy), *self._started(copy, ask.partition)]
 
-    def _extend(self, copy: Copy, entries: Iterable[Entry]) -> None:
+    # What a start after this one under its name may go on with
+
+    def restore(self, kept: Mapping[int, tuple[int, str, Iterable[Entry]]]) -> None:
+        """Take what starts before kept: label, id and entries. From now on changes are noted for whoever keeps them."""
+        self.changes = []
+        for at, (label, id, entries) in kept.items():
+            table = EffectTable(self._window_us)
+            for entry in entries:
+                self._take(Copy(Share(label), table), entry)
+            self.kept[at] = Kept(label, id, table)
+
+    def claims(self) -> tuple[tuple[int, int, str], ...]:
+        """Return partitions of which a start before under this name is owner or backup, as far as the map tells.
+
+        What it kept is all that can have been started: in each epoch since its label it was the owner, or a backup
+        without whose durable acknowledgement nothing starts, and such an acknowledgement would be a later label.
+        """
+        return tuple((at, one.label, one.id) for at, one in self.kept.items() if at < len(self.map.shares) and one.id in
+                     (self.map.shares[at].owner, *self.map.shares[at].backups))
+
+    def _grew(self, at: int, copy: Copy, entries: Iterable[Entry]) -> None:
+        if self.changes is None:
+            return
+        self.changes.append(Grew(at, tuple(entries)))
+        self._grown[at] = self._grown.get(at, 0) + len(self.changes[-1].entries)  # type: ignore[union-attr]
+        if self._grown[at] > WHOLE_AFTER and copy.complete:
+            self._note_whole(at, copy)
+
+    def _note_whole(self, at: int, copy: Copy) -> None:
+        if self.changes is not None:
+            self._grown[at] = 0
+            self.changes.append(Whole(at, copy.label, tuple(copy.table.living(0))))
+
+    def _note(self, change: Change) -> None:
+        if self.changes is not None:
+            self.changes.append(change)
+
+    def _extend(self, at: int, copy: Copy, entries: Iterable[Entry]) -> None:
+        self._grew(at, copy, entries)
         for one in entries:
             copy.tail.append(one)
             copy.at += 1
@@ -311,6 +362,9 @@
             if not mine:
                 return []
             copy = self.copies[at] = Copy(share, EffectTable(self._window_us))
+        if share.owner == self.me and share.origin is Origin.KEPT and not copy.complete and at in self.kept:
+            kept = self.kept.pop(at)  # as was claimed
+            copy.table, copy.label, copy.complete = kept.table, kept.label, True
         old, copy.share = copy.share, share
         if share.owner == self.me:
             return self._own(now, unix, at, copy, old)
@@ -326,8 +380,11 @@
         copy.transfers.clear()
         if not mine:
             del self.copies[at]
+            self._note(Dropped(at))
         elif self.me not in share.backups and self.me not in old.backups and old.owner != self.me:
             copy.complete = False  # joining: nothing it may have from before counts until it has all
+            if at not in self.kept:
+                self._note(Dropped(at))
         return decisions
 
     def _own(self, now: int, unix: int, at: int, copy: Copy, old: Share) -> list[Decision]:
@@ -341,6 +398,10 @@
                 decisions.append(Note(f"partition {at}: its records are lost: its charges are in doubt for "
                                       f"{self._window_us / 1e6:.0f} s"))
         copy.base, copy.label, copy.complete = (copy.label, copy.at), share.epoch, True
+        if again:
+            self._note(Labelled(at, share.epoch))
+        else:
+            self._note_whole(at, copy)
         copy.transfers.clear()
         copy.required = {id: since for id, since in copy.required.items() if id in share.joining and again}
         if again:
@@ -472,6 +533,7 @@
         # Else it keeps what it has until all of it came: nothing starts in this epoch that it did not take.
         if copy.label != what.share.epoch and copy.complete and copy.label == what.label and copy.at <= what.at:
             copy.label = what.share.epoch
+            self._note(Labelled(what.partition, copy.label))
         return [*decisions, self._acknowledge(what.partition, copy, sender)]
 
     def _acknowledge(self, at: int, copy: Copy, owner: str) -> Say:
@@ -491,20 +553,23 @@
             newer = copy is not None and copy.share.epoch > what.epoch or copy is None
             return self._stale(what.partition, sender) if newer else []
         if copy.label == copy.share.epoch and copy.complete and what.at <= copy.at:
-            for entry in what.entries[copy.at - what.at:]:
-                self._take(copy, entry)
-                copy.at += 1
+            taken = [self._take(copy, entry) for entry in what.entries[copy.at - what.at:]]
+            copy.at += len(taken)
+            if taken:
+                self._grew(what.partition, copy, taken)
             if all(one.kind not in WAITED_FOR for one in what.entries):
                 copy.owes = True
                 return []
         return [self._acknowledge(what.partition, copy, sender)]
 
     @staticmethod
-    def _take(copy: Copy, entry: Entry) -> None:
+    def _take(copy: Copy, entry: Entry) -> Entry:
         try:
             copy.table.take(entry)
         except EffectError:  # its owner knew better: the key is in doubt here, and never free
-            copy.table.take(Entry(Kind.LOST, entry.key, entry.at_us))
+            entry = Entry(Kind.LOST, entry.key, entry.at_us)
+            copy.table.take(entry)
+        return entry
 
     def chunk(self, sender: str, what: messages.Chunk) -> list[Decision]:
         """Take a part of all records; with the last one this copy has them."""
@@ -524,6 +589,8 @@
                 self._take(copy, entry)
         copy.staged, copy.staged_at = {}, (-1, -1)
         copy.label, copy.at, copy.complete = what.epoch, what.at, True
+        self.kept.pop(what.partition, None)
+        self._note_whole(what.partition, copy)
         return [self._acknowledge(what.partition, copy, sender)]
 
     def stale(self, now: int, unix: int, what: messages.Stale) -> list[Decision]:
@@ -586,7 +653,7 @@
                 notes.append(Note(f"key {said.key} is refused from now on: {MOST_LOSSES} owners were lost with it"))
         copy.table.take(entry)
         copy.doubts.pop(said.id, None)
-        self._extend(copy, [entry])
+        self._extend(at, copy, [entry])
         standing = {Kind.OUTCOME: Standing.DONE, Kind.FAILED: Standing.FAILED, Kind.NEVER: Standing.FREE}[kind]
         self.adopted += kind is not Kind.NEVER
         self.freed += kind is Kind.NEVER
--- a/sagetrestle/takeover/messages.py
+++ b/sagetrestle/takeover/messages.py
@@ -38,6 +38,12 @@
     map: FleetMap | None = None
 
 
+class Holds(msgspec.Struct, frozen=True, array_like=True, tag="holds"):
+    """A member tells the leader of which partitions it has what a start before it kept: label, and that start's id."""
+
+    claims: tuple[tuple[int, int, str], ...]
+
+
 class Elsewhere(msgspec.Struct, frozen=True, array_like=True, tag="elsewhere"):
     """The one asked does not lead the council; ``leader`` is who does, as far as it knows."""
 
@@ -188,7 +194,8 @@
     epoch: int
 
 
-FleetMessage = (Council | Renew | Granted | Elsewhere | MapTold | Synced | Base | Records | Recorded | Chunk | Fed
+FleetMessage = (Holds | Council | Renew | Granted | Elsewhere | MapTold | Synced | Base | Records | Recorded | Chunk
+                | Fed
                 | verdicts.Told | verdicts.Digest
                 | Stale | Told | Thanks | AskUnits | ToldUnits | RecallUnits | AskShare | ToldShare | NudgeShare
                 | AskSeen | Seen)
--- a/sagetrestle/takeover/node.py
+++ b/sagetrestle/takeover/node.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Annotated, Any, Literal, NamedTuple
 
@@ -34,6 +34,7 @@
 from sagetrestle.recovery.effects import Kind as EntryKind
 from sagetrestle.takeover import books as book
 from sagetrestle.takeover import messages
+from sagetrestle.takeover.changes import Change
 from sagetrestle.takeover.messages import weight
 from sagetrestle.verdicts import Spread, Subject
 from sagetrestle.verdicts import values as verdicts
@@ -54,6 +55,12 @@
     write: raft.Write
 
 
+class Keep(NamedTuple):
+    """Make changes of this member's copies durable, then say ``kept``."""
+
+    changes: tuple[Change, ...]
+
+
 class Forget(NamedTuple):
     """The council's store may not be used any more; begin with an empty one."""
 
@@ -78,7 +85,7 @@
     map: FleetMap
 
 
-Decision = (link.Dial | link.Write | link.Close | Persist | Forget | Changed | Units | Judged
+Decision = (link.Dial | link.Write | link.Close | Persist | Keep | Forget | Changed | Units | Judged
             | book.Start | book.TurnAway | book.Resolved | book.Fence | book.Inquire | book.Note)
 
 
@@ -104,6 +111,7 @@
     plan_us: int = 0
     orphans: dict[int, int] = field(default_factory=dict)  # partitions whose members are all silent, and since when
     unclear: dict[int, int] = field(default_factory=dict)  # partitions, and when all owners before are over
+    claims: dict[str, frozenset[tuple[int, int, str]]] = field(default_factory=dict)
     planned: tuple[object, ...] = ()  # what the last plan was made of, if it changed nothing
 
 
@@ -126,6 +134,9 @@
         self.leaving = False
         self.lead = Leading(Grantor(terms.lease_us, terms.drift))
         self.epochs: dict[int, deque[tuple[int, int, str]]] = defaultdict(lambda: deque(maxlen=KEPT_EPOCHS))
+        self._keeping = False  # a batch of changes is being written
+        self._batch = 0  # batches that were handed out
+        self._held: deque[tuple[int, book.Decision]] = deque()  # what may not be said before its batch is durable
         self._queue: deque[raft.Decision] = deque()
         self._writing = 0
         self._out: list[Decision] = []
@@ -156,6 +167,24 @@
         self._raft(raft.Written(last, done))
         return self._done()
 
+    def restore(self, kept: Mapping[int, tuple[int, str, Iterable[Entry]]]) -> None:
+        """Take what starts before this one kept; changes are handed out from now on. Before ``begin``."""
+        self.books.restore(kept)
+
+    def kept(self, now: int, unix: int, done: bool) -> list[Decision]:
+        """Take that changes are durable, or can not be: then nothing more is acknowledged, and others take over."""
+        self._at(now, unix)
+        self._keeping = False
+        if not done:
+            self._out.append(book.Note("this member's records can not be written: it gives its partitions away"))
+            self.leaving, self._keeping = True, True
+            self._renew()
+            return self._done()
+        while self._held and self._held[0][0] <= self._batch:
+            self._carry(self._held.popleft()[1])
+        self._hand_out()
+        return self._done()
+
     def seated(self, now: int, unix: int, seat: raft.Raft) -> list[Decision]:
         """Take a new seat, on an empty store."""
         self._at(now, unix)
@@ -282,11 +311,29 @@
                     self._out.append(what)
 
     def _books(self, decisions: Iterable[book.Decision]) -> None:
+        self._hand_out()
         for what in decisions:
-            if isinstance(what, book.Say):
-                self._say(what.to, what.message)
+            relies = isinstance(what, book.Start) or isinstance(what, book.Say) and isinstance(
+                what.message, messages.Recorded | messages.ToldUnits)
+            if relies and (self._keeping or self._held):
+                # What is written now may not have all that it relies on: then it waits for the batch after.
+                self._held.append((self._batch + bool(self.books.changes), what))
             else:
-                self._out.append(what)
+                self._carry(what)
+
+    def _carry(self, what: book.Decision) -> None:
+        if isinstance(what, book.Say):
+            self._say(what.to, what.message)
+        else:
+            self._out.append(what)
+
+    def _hand_out(self) -> None:
+        """Have changes written, one batch at a time."""
+        if self.books.changes and not self._keeping:
+            changes, self.books.changes = tuple(self.books.changes), []
+            self._keeping = True
+            self._batch += 1
+            self._out.append(Keep(changes))
 
     def _hear(self, sender: str, message: Any) -> None:
         now, unix, books = self._now, self._unix, self.books
@@ -296,6 +343,8 @@
                     self._raft(raft.Received(id, said))
             case messages.Renew():
                 self._renewed(sender, message)
+            case messages.Holds(claims):
+                self.lead.claims[sender] = frozenset(claims)
             case messages.Granted(number, order, known):
                 if known is not None:
                     self._see(known)
@@ -444,6 +493,8 @@
             self.leader = self.council[number % len(self.council)]
             self.holder.due_us = now + int(self.terms.lease_us * 0.1)
         self._say(self.leader, messages.Renew(number, self.place, self.books.map.order, self.leaving))
+        if self.books.kept and (claims := self.books.claims()):
+            self._say(self.leader, messages.Holds(claims))
 
     def _renewed(self, sender: str, ask: messages.Renew) -> None:
         if ask.place.id != sender:
@@ -533,11 +584,12 @@
             lead.leaving &= known
             alive = {id for id in known if lead.grantor.may_hold(id, now)}
             patient = self._silent(alive)
-            of = (self.agreed.version, alive, set(lead.leaving), frozenset(lead.synced), patient)
+            lead.claims = {id: claims for id, claims in lead.claims.items() if id in known}
+            of = (self.agreed.version, alive, set(lead.leaving), frozenset(lead.synced), patient, dict(lead.claims))
             if of == lead.planned:
                 return
             plan = Planner(self.agreed, alive, lead.leaving, frozenset(lead.synced), self.terms, patient,
-                           self._unclear())
+                           self._unclear(), lead.claims)
             changes, gone = plan.changes(), plan.gone()
             lead.planned = () if changes or gone else of
             lead.synced = {one for one in lead.synced if one[0] < len(self.agreed.shares)
@@ -562,7 +614,8 @@
         waiting, now = {}, self._now
         for at, share in enumerate(self.agreed.shares):
             held = (share.owner, *share.backups)
-            if share.owner and not alive & set(held) and any(newest.get(name_of(id)) == id for id in held):
+            if share.owner and not alive & set(held) and (
+                    self.terms.records or any(newest.get(name_of(id)) == id for id in held)):
                 waiting[at] = self.lead.orphans.get(at, now)
         self.lead.orphans = waiting
         return frozenset(at for at, since in waiting.items() if now - since < self.terms.lost_after_us)
--- a/tests/ownership/test_ownership.py
+++ b/tests/ownership/test_ownership.py
@@ -159,6 +159,28 @@
                 known, alive - gone, set(), frozenset(), TERMS, unclear=unclear).changes()}
             self.assertEqual(before, changes[0].before)
 
+    def test_a_later_start_goes_on_with_what_its_owner_or_backup_kept_and_nobody_else_does(self):
+        known = self.start(3)
+        one, later = known.shares[0], []
+        for place in known.places:
+            later.append(Place(f"{name_of(place.id)}@9", place.zone))
+            known = apply(known, 600 + len(later), Joined(later[-1]))
+        backup = f"{name_of(one.backups[0])}@9"
+        joined = msgspec.structs.replace(one, joining=(backup,))
+        known = msgspec.structs.replace(known, shares=(joined, *known.shares[1:]))
+        alive = {place.id for place in later}
+        for claim, owner, origin in (((0, one.epoch, one.backups[0]), backup, Origin.KEPT),
+                                     ((0, one.epoch - 1, one.backups[0]), backup, Origin.KEPT),
+                                     ((0, one.epoch + 1, one.backups[0]), None, Origin.LOST),
+                                     ((0, one.epoch, "n7@1"), None, Origin.LOST), ((1, one.epoch, one.owner), None,
+                                                                                   Origin.LOST)):
+            changes = {at: share for at, _, share in Planner(
+                known, alive, set(), frozenset(), TERMS, claims={backup: {claim}}).changes()}
+            self.assertEqual(origin, changes[0].origin, claim)
+            self.assertNotIn(changes[0].owner, changes[0].copies)
+            if owner is not None:
+                self.assertEqual(owner, changes[0].owner)
+
     def test_a_joining_member_is_no_owner_before_it_has_all_records(self):
         known = self.start(3)
         known = apply(known, 500, Joined(Place("n9@1", "z0")))
--- /dev/null
+++ b/tests/store/test_records.py
@@ -0,0 +1,59 @@
+"""A member's records on disk."""
+
+import sqlite3
+import tempfile
+import unittest
+from pathlib import Path
+
+from sagetrestle.recovery.effects import Entry, Kind
+from sagetrestle.store.database import StoreError
+from sagetrestle.store.records import RecordStore
+from sagetrestle.takeover.changes import Dropped, Grew, Labelled, Whole
+
+A, B = (Entry(Kind.INTENT, key, 5, "n1@1", 0, b"d\0\xff", b"r") for key in "AB")
+
+
+class RecordStoreTest(unittest.TestCase):
+    """One file over several starts."""
+
+    def setUp(self):
+        self.path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "records.db"
+        self.store = RecordStore(self.path, "n1@1")
+        self.addCleanup(lambda: self.store.close())
+
+    def again(self, me="n1@2"):
+        self.store.close()
+        self.store = RecordStore(self.path, me)
+        return self.store.read()
+
+    def test_it_gives_back_what_was_taken_by_partition_and_whose_it_was(self):
+        self.store.write((Whole(0, 7, (A,)), Grew(0, (B,)), Labelled(0, 8), Whole(1, 3, ()), Whole(2, 3, (A, B))))
+        self.store.write((Dropped(2), Whole(1, 4, (B,))))
+        self.assertEqual({0: (8, "n1@1", (A, B)), 1: (4, "n1@1", (B,))}, self.again())
+
+    def test_an_earlier_start_can_write_no_more(self):
+        later = RecordStore(self.path, "n1@2")
+        self.addCleanup(later.close)
+        with self.assertRaisesRegex(StoreError, "another start's"):
+            self.store.write((Labelled(0, 9),))
+        later.write((Labelled(0, 9),))
+
+    def test_a_row_that_is_not_what_was_written_spoils_the_file(self):
+        for change in ("UPDATE copies SET label = 9", "UPDATE copies SET id = 'n1@7'",
+                       "UPDATE entries SET data = x'00' WHERE seq = 1"):
+            with self.subTest(change):
+                self.store.write((Whole(0, 7, (A,)),))
+                with sqlite3.connect(self.path) as db:
+                    db.execute(change)
+                with self.assertRaisesRegex(StoreError, "spoilt"):
+                    self.again()
+                self.store.close()
+                self.path.unlink()
+                self.store = RecordStore(self.path, "n1@1")
+
+    def test_a_file_of_another_format_is_left_as_it_is(self):
+        self.store.close()
+        with sqlite3.connect(self.path) as db:
+            db.execute("PRAGMA user_version=9")
+        with self.assertRaisesRegex(StoreError, "format 9"):
+            RecordStore(self.path, "n1@1")
--- a/tests/takeover/test_fleet_model.py
+++ b/tests/takeover/test_fleet_model.py
@@ -5,6 +5,7 @@
 
 import unittest
 
+from sagetrestle.ownership.values import FleetTerms
 from tests.takeover.world import World
 
 
@@ -82,6 +83,46 @@
                 windows += len(world.spent)
         self.assertGreater(windows, 40)
 
+    def test_most_killed_at_once_go_on_with_what_they_kept_and_nothing_runs_twice(self):
+        for seed in range(10):
+            with self.subTest(seed):
+                world = World(seed, terms=FleetTerms(partitions=8, new=True, records=True))
+                self.assertTrue(world.run(15, world.ready))
+                self.campaign(world, 15)
+                self.returns(world)
+
+    def returns(self, world, rounds=3):
+        """Kill most or all at once under charges and start them one by one, some killed again on the way."""
+        rng, number = world.rng, 10_000
+        for _ in range(rounds):
+            for _ in range(20):
+                number += 1
+                world.charge(f"K{number}")
+            world.run(rng.uniform(0.0, 0.3))
+            members = list(world.members.values())
+            for again in range(rng.choice((1, 1, 2))):
+                some = members if rng.random() < 0.6 else rng.sample(members, len(members) * 2 // 3)
+                for one in some:
+                    if one.up:
+                        one.die(kernel=rng.random() < 0.3)
+                world.run(rng.uniform(0.05, 0.5))
+                rng.shuffle(members)
+                for one in members if not again else members[:rng.randint(1, len(members))]:
+                    if not one.up:
+                        one.begin()
+                        world.run(rng.choice((0.0, 0.0, 0.3)))
+                world.run(rng.uniform(0.0, 2.5))
+            for one in members:
+                if not one.up:
+                    one.begin()
+            began = world.now
+            self.assertTrue(world.run(20, world.ready))
+            self.assertLess(world.now - began, 4_500_000)
+            number += 1
+            key = f"K{number}"
+            world.charge(key)
+            self.assertTrue(world.run(8, lambda key=key: key in world.served), world.outcomes)
+
     def campaign(self, world, steps=40):
         """Trouble while charges come; then all heals, and full service has to return."""
         rng, number, world.faults = world.rng, 0, 0
--- a/tests/takeover/world.py
+++ b/tests/takeover/world.py
@@ -11,6 +11,7 @@
 from sagetrestle.quota import Word as UnitWord
 from sagetrestle.recovery.effects import EffectError, Entry, Kind
 from sagetrestle.takeover import books, node
+from sagetrestle.takeover.changes import Dropped, Grew, Labelled, Whole
 from sagetrestle.takeover.judge import Word, effect_key, judge
 from tests.consensus.world import Store
 
@@ -100,6 +101,7 @@
         self.ahead = round(world.terms.apart_us * (hash_of(name) - 0.5)) if world.cap else 0
         self.store, self.kernel = Store(), Kernel(world, name)
         self.identity, self.up, self.stopped = f"{name}#0", False, False
+        self.disk = {}  # records by partition: label and entries
         self.begin()
 
     def now(self):
@@ -121,6 +123,8 @@
         seat = self.seat() if self.name in council else None
         one = links.Links("test", place.id, world.names, world.seed + self.lives, self.now())
         self.node = node.Node(place, council, world.terms, one, WINDOW_US, seat)
+        if world.terms.records:
+            self.node.restore({at: (label, id, tuple(rows)) for at, (label, id, rows) in self.disk.items()})
         self.tries, self.count, self.places = {}, 0, {}
         self.act("begin")
 
@@ -159,6 +163,9 @@
             case node.Persist(write):
                 lives = self.lives
                 self.world.later(world.rng.randint(100, 5_000), lambda: self.persisted(write, lives))
+            case node.Keep(changes):
+                lives = self.lives
+                self.world.later(world.rng.randint(100, 5_000), lambda: self.kept(changes, lives))
             case node.Forget():
                 self.store, self.identity = Store(), f"{self.name}#{self.lives}.{world.now}"
                 self.later(1_000, "seated", self.seat())
@@ -177,6 +184,22 @@
                     kernel.fence(partition, epoch, runs, lambda run, kind: self.later(
                         500, "fate", partition, epoch, run, kind, run.encode() if kind is Kind.OUTCOME else b""))
 
+    def kept(self, changes, lives):
+        if not self.up or lives != self.lives:
+            return
+        for one in changes:
+            match one:
+                case Whole(at, label, entries):
+                    self.disk[at] = (label, self.node.me, list(entries))
+                case Dropped(at):
+                    self.disk.pop(at, None)
+                case Labelled(at, label):
+                    self.disk[at] = (label, self.node.me, self.disk.get(at, (0, "", []))[2])
+                case Grew(at, entries):
+                    if at in self.disk:
+                        self.disk[at][2].extend(entries)
+        self.act("kept", True)
+
     def persisted(self, write, lives):
         if self.up and lives == self.lives:
             self.store.write(write)
