--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -164,7 +164,7 @@
     Mutant("a record acknowledged before it is durable", "sagetrestle/takeover/node.py",
            "if relies and (self._keeping or self._held):", "if False:", FLEET),
     Mutant("a claim of one that was no holder", "sagetrestle/ownership/planner.py",
-           "place == at and label <= share.epoch and old in held and name_of(old) == name_of(id)", "place == at",
+           "label <= share.epoch and old in held and name_of(old) == name_of(id)", "True",
            ("tests/ownership", *FLEET)),
     Mutant("records that are claimed and not gone on with", "sagetrestle/takeover/books.py",
            "kept = self.kept.pop(at)  # as was claimed\n            copy.table,",
