Have a later start ask after what the one before ran

Line at fault: Books._share compared the share with itself where a copy was made of kept records, so the new owner took itself for the owner all along (again), and no doubts were listed. Ruled out: the kernel's answer, which was never asked for, and the module, which had ended the try. A unit test of a later start fails without it.

Besides, tries that wait for the word on a run at a member that owns it no more are sent on at once; that has no test of its own.

--- a/sagetrestle/net/routing/fleet.py
+++ b/sagetrestle/net/routing/fleet.py
@@ -366,8 +366,20 @@
                 turn.answer(entry, Refused(ELSEWHERE_US))
                 turn.events.append(Gone(entry.request.id))
                 turn.give_up(entry)
+        for run, ids in list(self._asked.items()):
+            self._moved(turn, run, ids)
         self._again(turn)
 
+    def _moved(self, turn: Turn, run: str, ids: list[str]) -> None:
+        """Send tries on that wait for the word on a run that another is to hear now."""
+        waiting = [entry for id in ids if (entry := turn.state.entries.get(id)) is not None
+                   and entry.phase is Phase.JOINED and entry.owed]
+        if waiting and self._verdict(turn, waiting[0].request).word is Word.ELSEWHERE:
+            del self._asked[run]
+            turn.state.keys.disown(run)
+            for entry in waiting:
+                self._end(turn, entry, Refused(ELSEWHERE_US))
+
     def _again(self, turn: Turn) -> None:
         """Ask again for tries that this member could not run yet."""
         waiting, self._not_yet = self._not_yet, {}
--- a/sagetrestle/takeover/books.py
+++ b/sagetrestle/takeover/books.py
@@ -365,6 +365,7 @@
         if share.owner == self.me and share.origin is Origin.KEPT and not copy.complete and at in self.kept:
             kept = self.kept.pop(at)  # as was claimed
             copy.table, copy.label, copy.complete = kept.table, kept.label, True
+            copy.share = Share(kept.label)  # a start before owned it, or nobody did: its runs are to be asked after
         old, copy.share = copy.share, share
         if share.owner == self.me:
             return self._own(now, unix, at, copy, old)
--- a/tests/takeover/test_books.py
+++ b/tests/takeover/test_books.py
@@ -360,6 +360,26 @@
             self.run_at(A, "run 2")
 
 
+class RestoredTest(BooksCase):
+    """A later start with what the one before kept."""
+
+    def test_it_asks_after_what_the_start_before_ran_and_answers_what_that_knew(self):
+        self.arrange(Share(5, A, (B, C), (), Origin.NEW))
+        for key in ("K", "L"):
+            self.record(A, key)
+        self.take(A, self.books[A].ended(self.now, 0, Entry(Kind.OUTCOME, "L", self.now, result=b"r")))
+        later = self.books["a@2"] = Books("a@2", TERMS, WINDOW)
+        self.done["a@2"] = []
+        later.restore({0: (5, A, self.books[A].copies[0].table.living(0))})
+        later.see(self.now, self.now, FleetMap(8, (Share(5, A, (B, C), (), Origin.NEW),), PLACES))
+        self.assertEqual(((0, 5, A),), later.claims())
+        self.take("a@2", later.see(self.now, self.now, FleetMap(9, (Share(6, "a@2", (), (), Origin.KEPT),), PLACES)))
+        self.assertEqual([("run K",)], [one.runs for one in self.done["a@2"] if isinstance(one, books.Fence)])
+        self.assertEqual((Standing.DONE, Standing.IN_DOUBT),
+                         (self.standing("a@2", "L")[0], self.standing("a@2", "K")[0]))
+        self.assertIsNone(later.copies[0].table.lost_us)
+
+
 class UnitsTest(BooksCase):
     """Allowances in the records: told once all backups have them, and known to whoever grants next."""
 
