Show that nothing is acknowledged before its record is durable

Change: two tests of a backup that keeps records: what comes while a batch is written waits for the next one, and a disk that fails has it acknowledge nothing and leave.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -162,7 +162,7 @@
     Mutant("a liar heard", "sagetrestle/verdicts/judge.py", "if one.witness not in liars", "if True",
            ("tests/verdicts",)),
     Mutant("a record acknowledged before it is durable", "sagetrestle/takeover/node.py",
-           "if relies and (self._keeping or self._held):", "if False:", FLEET),
+           "if relies and (self._keeping or self._held):", "if False:", ("tests/takeover/test_books.py",)),
     Mutant("a claim of one that was no holder", "sagetrestle/ownership/planner.py",
            "label <= share.epoch and old in held and name_of(old) == name_of(id)", "True",
            ("tests/ownership", *FLEET)),
--- a/tests/takeover/test_books.py
+++ b/tests/takeover/test_books.py
@@ -524,6 +524,39 @@
         member._see(FleetMap(58, (Share(4, B, (C,), (), Origin.NEW),), PLACES, 3))
         self.assertEqual(C, member.books.share_of("K")[1].owner)
 
+    def backup(self):
+        """Return a backup that keeps its records, and what it says."""
+        member, said = node.Node(PLACES[1], ("a",), TERMS, Links("f", B, ("a", "b"), 1, 0), WINDOW), []
+        member.restore({})
+        member._say = lambda to, message: said.append(message)
+        share = Share(5, A, (B,), (), Origin.NEW)
+        member._see(FleetMap(1, (share,), PLACES))
+        member._hear(A, messages.Base(0, share, -1, 0))
+        member._hear(A, messages.Chunk(0, 5, 0, 0, 1, ()))
+        return member, said
+
+    def acked(self, said):
+        return [one.at for one in said if isinstance(one, messages.Recorded) and one.at >= 0]
+
+    def test_nothing_is_acknowledged_before_it_is_durable_and_what_comes_meanwhile_waits_for_the_next_batch(self):
+        member, said = self.backup()
+        self.assertEqual([], self.acked(said))
+        member._hear(A, messages.Records(0, 5, 0, (intent("K"),)))
+        member.kept(0, 0, True)
+        self.assertEqual([0], self.acked(said))
+        member._hear(A, messages.Records(0, 5, 1, (intent("L"),)))
+        member.kept(0, 0, True)
+        self.assertEqual([0, 1], self.acked(said))
+        member.kept(0, 0, True)
+        self.assertEqual([0, 1, 2], self.acked(said))
+
+    def test_a_member_whose_records_can_not_be_written_acknowledges_nothing_more_and_leaves(self):
+        member, said = self.backup()
+        member.kept(0, 0, False)
+        member._hear(A, messages.Records(0, 5, 0, (intent("K"),)))
+        self.assertEqual([], self.acked(said))
+        self.assertTrue(member.leaving)
+
     def test_a_member_whose_store_can_not_be_written_says_so_and_leads_no_more(self):
         self.writes = False
         self.node._propose(Joined(PLACES[2]))
