--- a/tests/net/test_upgrade_loopback.py
+++ b/tests/net/test_upgrade_loopback.py
@@ -127,6 +127,7 @@
     async def test_who_comes_right_after_is_served_by_the_newer_one(self):
         await self.begin()
         new = await self.newer("taken over")
+        await self.old.logged("handed over")  # a turn later: until then either may take a connection
         waiting = [await FrontEnd(self.old.ports["thrift"], number).connect() for number in range(20)]
         numbers = await asyncio.gather(*(one.ask(call_id(f"w{at}"), "quick-check", b"x")
                                          for at, one in enumerate(waiting)))
