Leave a member's files to the older process of an upgrade until it is gone

Cause, found in reading the change once more: the newer process opened the council's store and the records as it was made, beside the older one. The records were taken from it (it gave its partitions away), and what it voted after that look was not known to the newer one, which is the same voter: it could have voted twice in a term.

Change: nothing is written before the member's port is had; then the records are opened, and after a wait the council's store is read again.

--- a/sagetrestle/net/program/fleet.py
+++ b/sagetrestle/net/program/fleet.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
+from twisted.internet.error import CannotListenError
 
 from sagetrestle.consensus import core as raft
 from sagetrestle.forms import decoded
@@ -170,7 +171,9 @@
         # Arrivals are stamped by clocks that may be apart, and a key must not be free here before it is anywhere.
         self.node = node.Node(place, self._council, fleet.terms(), links,
                               window + MARGIN_US + file.clocks_apart_ms * MS, seat)
-        self._records = self._restored(fleet.records) if fleet.records is not None else None
+        self._records: RecordStore | None = None
+        self._unwritten: list[raft.Write] = []  # of the council's, until this process has the member to itself
+        self._waited = False
         self.links = PeerLinks(reactor, dict(fleet.addresses), lambda event: post(FromFleet(event)))
         self._kernels = KernelAsker(reactor, self._told)
 
@@ -182,9 +185,25 @@
         join_fleet(state, Fleet(self.node, self._upstream.place if self._upstream is not None else None))
 
     def listen(self) -> tuple[str, int]:
-        """Take the others' links. Raises CannotListenError."""
-        address = self._config.listen[0], self.links.listen(self._config.listen)
+        """Take the others' links, and with them the files. Raises CannotListenError and StoreError.
+
+        Until then an older process may have both: what it wrote after this one looked counts, so that is read again.
+        """
+        try:
+            address = self._config.listen[0], self.links.listen(self._config.listen)
+        except CannotListenError:
+            self._waited = True
+            raise
         self._listening = True
+        if self._config.records is not None:
+            self._records = self._restored(self._config.records)
+        unwritten, self._unwritten = self._unwritten, []
+        if self._waited and self._store is not None:
+            self._store.close()
+            self._post(FromFleet(SeatTaken(self._seat())))
+        else:
+            for write in unwritten:
+                self._persist(write)
         if self._upstream is not None and self._config.file.verdicts:
             self._look()
         return address
@@ -240,6 +259,8 @@
                 self.links.write(connection, frame)
             case link.Close(connection):
                 self.links.end(connection)
+            case node.Persist(write) if not self._listening:
+                self._unwritten.append(write)
             case node.Persist(write):
                 self._persist(write)
             case node.Keep(changes) if self._records is not None:
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -226,7 +226,7 @@
         except CannotListenError as error:
             self._give_up(error)
 
-    def _give_up(self, error: CannotListenError) -> None:
+    def _give_up(self, error: Exception) -> None:
         self._log.line(f"can not listen: {error}")
         self.exit_code = 1
         self.reactor.stop()
@@ -283,12 +283,15 @@
 
     def _listen_fleet(self, fleet: FleetHost) -> None:
         """Take the other members' links; in an upgrade the older process has them until it is gone."""
+        from sagetrestle.store.database import StoreError
         try:
             host, port = fleet.listen()
         except CannotListenError:
             if not self.handover or not self.handover.succeeds:
                 raise
             self.reactor.callLater(FLEET_AGAIN_S, self._listen_fleet, fleet)
+        except StoreError as error:
+            self._give_up(error)
         else:
             self._listens("fleet", host, port)
 
--- a/tests/fleet/test_moves.py
+++ b/tests/fleet/test_moves.py
@@ -52,17 +52,19 @@
         self.check(rig)
 
     async def test_an_upgrade_of_a_member_while_another_dies_runs_nothing_twice(self):
-        rig = await self.fleet(5, upgraded="n4")
+        rig = await self.fleet(5, upgraded="n1", fleet={"store": "council.db", "records": "records.db"})
+        older = rig.scorers["n1"]
 
         async def act():
             upgrading = asyncio.create_task(rig.upgrade())
             await asyncio.sleep(0.6)
             await rig.kill("n3")
             await upgrading
-            await self.until(lambda: "n4" in {self.owner(rig, f"K{at}") for at in range(60)}, 20)
+            await self.until(lambda: "n1" in {self.owner(rig, f"K{at}") for at in range(60)}, 20)
         hows = await self.under_charges(rig, act)
         self.assertEqual({"served"}, set(hows))
         self.check(rig)
+        self.assertFalse(older.log_has("can not be written"), older.log)  # the newer one left its files alone
 
     async def test_a_whole_zone_lost_under_load_is_gone_on_with_by_the_others(self):
         rig = await self.fleet(6, council=3, zones=3)
