--- a/sagetrestle/net/program/config.py
+++ b/sagetrestle/net/program/config.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from sagetrestle.interface import Below, Settings
 from sagetrestle.net.program.limits import LEAST, Limits, derive
 from sagetrestle.net.routing.values import Address, Peers, Plan
 from sagetrestle.wirehost import read_settings
@@ -150,9 +151,11 @@
     if env.get("ROUTER_MANAGEMENT"):
         told["management"] = env["ROUTER_MANAGEMENT"]
     management = _address(told, "management") if "management" in told else None
-    peers = Peers(_address(told, "kernel"), _address(told, "ledger"), _address(told, "roster"))
+    listen, kernel, roster = (_address(told, field) for field in ("listen", "kernel", "roster"))
     scgi = read_scgi(scgi_file, name)
-    return Config(name, _address(told, "listen"), peers, _plan(told, scgi, management is not None), scgi,
+    plan = _plan(told, scgi, management is not None)
+    peers = Peers(kernel, _ledger_address(told, plan.settings), roster)
+    return Config(name, listen, peers, plan, scgi,
                   limits=_limits(told), management=management,
                   shared=Path(env["TMPDIR"]) if management and env.get("TMPDIR") else None)
 
@@ -227,6 +230,12 @@
     return Plan(settings, int(stop_ms * 1000), bounds, tuple(str(one) for one in gauges), seed, managed)
 
 
+def _ledger_address(told: dict[str, Any], settings: Settings) -> Address | None:
+    """Read where calls go; a site of which no class calls has no ledger, and names none."""
+    calls = settings.below is not Below.NONE and any(cls.calls for cls in settings.classes)
+    return _address(told, "ledger") if calls or told.get("ledger") is not None else None
+
+
 def _text(told: dict[str, Any], name: str) -> str:
     value = told.get(name)
     if not isinstance(value, str) or not value:
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -96,9 +96,9 @@
 
 
 class UseLedger(NamedTuple):
-    """Make new calls at this address; calls in hand may finish where they are."""
+    """Make new calls at this address, or none; calls in hand may finish where they are."""
 
-    address: Address
+    address: Address | None
 
 
 class UseRoster(NamedTuple):
--- a/sagetrestle/net/routing/values.py
+++ b/sagetrestle/net/routing/values.py
@@ -16,7 +16,7 @@
     """Where the parties behind the server are reached; a new configuration may move them."""
 
     kernel: Address
-    ledger: Address
+    ledger: Address | None  # None: the site has none, and no class of it calls
     roster: Address
 
 
--- a/sagetrestle/net/transport/ledger_pool.py
+++ b/sagetrestle/net/transport/ledger_pool.py
@@ -121,8 +121,8 @@
         self._calls: dict[str, LedgerConnection] = {}
         self._idle: deque[LedgerConnection] = deque()  # the one used last stands last
 
-    def use(self, address: tuple[str, int]) -> None:
-        """Make new calls at this address; calls in hand may finish where they are."""
+    def use(self, address: tuple[str, int] | None) -> None:
+        """Make new calls at this address, or none; calls in hand may finish where they are."""
         self._address = address
         while self._idle:
             self._idle.popleft().close()
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -304,6 +304,19 @@
             with self.subTest(text), self.assertRaisesRegex(config.ConfigError, says):
                 self.read(scgi=text)
 
+    def test_a_site_of_which_no_class_calls_needs_no_ledger(self):
+        """Of another customer's site the platform names none; where calls are made it is still missed."""
+        del self.told["ledger"]
+        with self.assertRaisesRegex(config.ConfigError, "^ledger: missing"):
+            self.read()
+        extra = PARAMS["extra"]
+        for without in ({"below": "silent"}, {"class_calls": [False]}):
+            with self.subTest(without):
+                got = self.read(settings=PARAMS | {"extra": extra | without})
+                self.assertIsNone(got.peers.ledger)
+                with self.assertRaisesRegex(config.ConfigError, "^ledger: "):
+                    self.read(settings=PARAMS | {"extra": extra | without}, ledger="nowhere")
+
     def test_what_a_reload_leaves_is_named_as_in_the_file(self):
         """Addresses move; of other changes those on call are told that they take a restart."""
         old = self.read()
