Keep what ran for as long as the longest class may still bring a repeat of it

Cause: a key was forgotten 15 s after its window, whatever the classes' limits (net/routing/keys.py, LATE_READ_US: 'over any class's limit'). Seen on a made-up class with a limit of 40 s and a window of 5 s: a repeat stamped within the window and read 20 s later was refused though its key had run, and was not tied to the run.

Change: the time comes from the settings, the longest limit and 1 s more.

--- a/sagetrestle/net/routing/fleet.py
+++ b/sagetrestle/net/routing/fleet.py
@@ -21,7 +21,7 @@
     FateTold, FleetEvent, RecordsKept, RoomFound, SeatTaken, Seen, SlotsReported, StoreDone,
 )
 from sagetrestle.net.routing.gate import Word as Pass
-from sagetrestle.net.routing.keys import LATE_READ_US, MARGIN_US
+from sagetrestle.net.routing.keys import MARGIN_US
 from sagetrestle.net.routing.state import Entry, Phase, State
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import Answer, Failed, FailCause, Refused, Request, Served
@@ -328,7 +328,7 @@
         keys = turn.state.keys
         if what.standing is Standing.DONE:
             windows = (cls.window_us for cls in keys.settings.classes)
-            keys.learn(what.run, what.result, turn.now + max(windows, default=0) + LATE_READ_US)
+            keys.learn(what.run, what.result, turn.now + max(windows, default=0) + keys.late_read_us)
         else:
             keys.disown(what.run)
         for id in self._asked.pop(what.run, ()):
--- a/sagetrestle/net/routing/handover.py
+++ b/sagetrestle/net/routing/handover.py
@@ -13,7 +13,7 @@
 from sagetrestle.net.routing.actions import through_gate
 from sagetrestle.net.routing.effects import Listen, Room, StopListening, ToOther
 from sagetrestle.net.routing.gate import Word
-from sagetrestle.net.routing.keys import LATE_READ_US, MARGIN_US
+from sagetrestle.net.routing.keys import MARGIN_US
 from sagetrestle.net.routing.state import Drain as DrainState
 from sagetrestle.net.routing.state import Entry, Phase, State
 from sagetrestle.net.routing.turn import Turn
@@ -361,7 +361,7 @@
     if id in turn.state.entries:
         return None
     finished = turn.state.keys.result(id)
-    return (None, turn.now + LATE_READ_US) if finished is None else (finished.result, finished.until)
+    return (None, turn.now + turn.state.keys.late_read_us) if finished is None else (finished.result, finished.until)
 
 
 def elder_event(turn: Turn, item: inputs.FromElder) -> None:
--- a/sagetrestle/net/routing/keys.py
+++ b/sagetrestle/net/routing/keys.py
@@ -19,7 +19,7 @@
 Key = tuple[str, int, str, str]  # kind, class, tenant, and the key or subject
 NO_KEY: Key = ("", 0, "", "")
 MARGIN_US = 5_000  # ``s`` is in whole milliseconds and its rounding is the other side's
-LATE_READ_US = 15_000_000  # how long after its arrival a repeat may still be read: over any class's limit
+LATE_READ_SLACK_US = 1_000_000  # past the longest limit of any class, up to which a request may be read or wait
 
 
 @dataclass(slots=True)
@@ -54,6 +54,12 @@
     most_bytes: int = 1 << 24  # of results
     held_bytes: int = 0
     next_sweep: int = 0
+    late_read_us: int = 0  # how long after its arrival a repeat may still be read: past every class's limit
+
+    def __post_init__(self) -> None:
+        """Derive what the classes' limits say."""
+        longest = max((cls.deadline_us for cls in self.settings.classes), default=0)
+        self.late_read_us = longest + LATE_READ_SLACK_US
 
     def key_of(self, request: Request) -> Key | None:
         """Return the key that ties a request to its repeats, if it has one that counts.
@@ -159,7 +165,7 @@
     def records(self, now: int) -> list[Record]:
         """Return all keys of which a try ran that can still be repeated, for another process."""
         return [self._record(key, state, state.ran) for key, state in self.keys.items()
-                if key[0] == "keyed" and state.ran and state.ran_until + LATE_READ_US > now]
+                if key[0] == "keyed" and state.ran and state.ran_until + self.late_read_us > now]
 
     def record(self, request: Request) -> Record:
         """Return a keyed try as another process would know it if it ran."""
@@ -217,7 +223,7 @@
             state.held_until = min(state.held_until, until)
             if result is None and state.holder == request.id:
                 state.holder = None  # one that failed has nothing to share, not even in the same turn
-        self._put(request.id, result, until + LATE_READ_US)
+        self._put(request.id, result, until + self.late_read_us)
 
     def _put(self, id: str, result: bytes | None, until: int) -> None:
         self._drop_result(id)
@@ -238,7 +244,7 @@
         for id in [id for id, one in self.results.items() if one.until <= now]:
             self._drop_result(id)
         self.keys = {key: one for key, one in self.keys.items() if one.latest or
-                     (one.holder or one.ran) and max(one.held_until, one.ran_until) + LATE_READ_US > now}
+                     (one.holder or one.ran) and max(one.held_until, one.ran_until) + self.late_read_us > now}
         self.names = {id: key for id, key in self.names.items() if key in self.keys}
 
     def _drop(self, id: str) -> None:
