Bound what a cold scorer invites over all its callers together

Need: cold servers fall under the sum of what all callers send. _tell gave each caller a floor of one request and, as long as nothing was shed, no limit at all (logic.py, _tell), and said nothing before the first half second: with C callers the sum was C or more, whatever the settings let a cold server survive.

Change: while cold each caller is told N / C, N being what is survived now and C the callers named or seen, from the first answer on. Bound, derived first: the sum has the mean N and a variance of at most N, as each caller takes its fraction by chance.

--- a/sagetrestle/logic.py
+++ b/sagetrestle/logic.py
@@ -41,6 +41,7 @@
 RATE_SPAN, RATE_PRIOR = 20_000_000, 20.0  # µs of counting tenants' requests; those taken as seen at first
 # Level: rise by shedding, share and part lost an epoch, the highest; shedding from which credit is given.
 LEVEL_RISE, LEVEL_FALL, LEVEL_REST, LEVEL_TOP, CREDIT_FROM = 0.5, 0.15, 0.01, 0.8, 0.02
+CREDIT_TOP, CALLERS_COUNTED = 1000.0, 2000  # said where nothing is shed: no limit; callers told apart
 # Idle connections: least part of the longest time; arrivals a full table lets in, over what can be served;
 # change worth telling; part of the longest time within which callers come again, so that all are kept.
 IDLE_LEAST, TURNOVER, IDLE_CHANGE, COMES_AGAIN = 0.05, 1.6, 0.1, 0.5
@@ -118,6 +119,7 @@
         self.live: dict[str, Work] = {}
         self.held, self.on_cores, self.calls_waiting, self.calling = {}, {}, {}, {}
         self.users: dict[str | int, User] = {}
+        self.callers_seen: set[str | int] = set()  # while cold
         self.clock = self.memory = self.unread = 0.0
         self.asked, self.away, self.back_at, self.well = 1.0, AWAY_LEAST, 0, True
         self.records: dict[str, KeyRecord] = {}
@@ -156,6 +158,9 @@
             self.now = self.born = now
             self.climb_at = now + CLIMB_EVERY
             self.out += [Health(True), IdleLimit(self.set.idle_max_us)]
+            if self.set.free_value is FreeValue.CREDIT and self._cold():
+                self.said = self._credit()
+                self.out.append(Say(self.said))
         self._advance(now)
         for event in events:
             self.handlers[type(event)](event)
@@ -252,10 +257,14 @@
         worth = cls.worth if self.set.counted_by_work else cls.worth / max(1.0, self._size(work))
         return worth * self.in_share[work.tenant] if work.tenant < len(self.in_share) else worth
 
+    def _cold(self) -> bool:
+        """Tell whether the cores may still be slow after the start."""
+        return self.set.cold and self.now - self.born < self.set.warm_within_us
+
     def _crowd(self) -> float:
         """Return how many runs on the cores the server survives now; fewer while cold."""
         warm = 1.0
-        if self.set.cold and self.set.warm_within_us:
+        if self._cold():
             warm = min(1.0, self.set.cold_share
                        + (1.0 - self.set.cold_share) * (self.now - self.born) / self.set.warm_within_us)
         return (1.0 + (self.set.crowd_multiple - 1.0) * warm) * self.cores - self.beside.running
@@ -278,6 +287,8 @@
         work = Work(event, self.seq)
         came = self.now - event.waited_us
         self.unread += (event.waited_us - self.unread) * WAIT_GAIN
+        if self._cold() and len(self.callers_seen) < CALLERS_COUNTED:
+            self.callers_seen.add(event.caller)
         key = event.subject or event.caller
         if key not in self.users:
             least = min((one.count for one in self.users.values()), default=0.0)
@@ -638,8 +649,7 @@
         Guards against slow or stuck cores, which drown in reading whatever is refused; a full one reads much.
         Hurts where all turn slow at once, hence the returns.
         """
-        warm = not self.set.cold or self.now - self.born >= self.set.warm_within_us
-        slow = warm and self.asked < SLOW_ASKED and self.unread > SLOW_WAIT * self.usual_mean
+        slow = not self._cold() and self.asked < SLOW_ASKED and self.unread > SLOW_WAIT * self.usual_mean
         if not self.well and self.now >= self.back_at and not self.drain_at:
             self.well, self.unread = True, 0.0
             self.out.append(Health(True))
@@ -692,14 +702,24 @@
             level = self.level * (1.0 - LEVEL_FALL) + LEVEL_RISE * share - LEVEL_REST
             self.level = value = round(min(LEVEL_TOP, max(0.0, level)), 3)
         elif kind is FreeValue.CREDIT:
-            some = max(1.0, 2.0 * len(self.live) / max(1, self.set.callers))
-            value = round(some, 1) if self.pressure > CREDIT_FROM else 1000.0
+            value = self._credit()
         elif kind is FreeValue.WEIGHT:
             value = round(max(0.05, 1.0 - self.pressure), 2)
         if value != self.said:
             self.out.append(Say(value))
         self.said = value
 
+    def _credit(self) -> float:
+        """Return how many requests each caller is invited to have here at once.
+
+        Callers know nothing of each other. While cold, all their invitations stay within what it survives, in
+        fractions that callers take by chance: one for each would add up to more with each caller.
+        """
+        callers = max(1, self.set.callers, len(self.callers_seen))
+        some = max(1.0, 2.0 * len(self.live) / callers)
+        value = round(some, 1) if self.pressure > CREDIT_FROM else CREDIT_TOP
+        return min(value, int(self._crowd() / callers * 1000.0) / 1000.0) if self._cold() else value
+
     # Calls
 
     def _at_call(self, event: AtCall) -> None:
