Answer what crosses a close or the end of the process, and heed early notices

Faults found and forced over real sockets: - As the listening ended Twisted took in as many waiting connections as the time before, at rest one, and the others were reset with their requests (transport/connection.py, stop_listening: Port.numberAccepts). - With no connection open the process ended in the very turn in which it took the last ones in (routing/chores.py). - A notice before the kernel was up ended the process at once, over requests unread. - An idle connection was closed over bytes that lay unread: a reset, and the request lost; so was SCGI's on leaving. - At the end, requests unread or waiting for their pace were cut off, and answers in a buffer had 30 ms. - Half a request that stalled cost other requests on its connection their answers. - A reload asked for before the loop ran ended the process, or was lost between reading the file and the start.

Change: a close is a half-close; what comes is read and dropped within 1 s. The listening ends with the whole queue taken in, the process turns later; connections are looked at once more at the end, which waits for the buffers, 100 ms at most. Early notices are noted and heeded; run ignores SIGHUP from before the interpreter's start. build compiles the package: run may write nothing, so each start compiled it anew.

Changed tests: a notice before the kernel is up now ends the process after what came was answered; the memory wire's other side ends its own side after a half-close; run's prefix in test_confined has the trap.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 
 build:
 	test -f .venv/ready || (python3 -m venv --clear .venv && .venv/bin/pip -q install -r requirements.txt && touch .venv/ready)
+	.venv/bin/python -m compileall -q sagetrestle
 
 run: build
 	exec .venv/bin/python -B -m sagetrestle
--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -36,6 +36,38 @@
 COUNCIL = ("tests/consensus",)
 JOURNAL = ("tests/store/test_journal.py", "tests/recovery/test_effects.py")
 SLOTS = ("tests/quota/test_slots.py", "tests/overload", "tests/damping")
+CROSSINGS = ("tests/net/test_crossings.py",)
+CLOSING = (
+    Mutant("as many connections taken in at the end as the last time", "sagetrestle/net/transport/connection.py",
+           "port.numberAccepts = BACKLOG + 1", "pass", CROSSINGS),
+    Mutant("no look at what waits as the listening ends", "sagetrestle/net/transport/connection.py",
+           "                    port.doRead()\n", "", CROSSINGS),
+    Mutant("an end in the turn in which the listening ends", "sagetrestle/net/routing/chores.py",
+           'state.chores["drain"] = turn.now + DRAIN_EVERY_US\n        return', "pass", CROSSINGS),
+    Mutant("an end at once before the kernel is up", "sagetrestle/net/routing/chores.py",
+           "        turn.events.append(Drain(stop_at))\n",
+           "        turn.events.append(Drain(stop_at))\n    else:\n        _exit(turn)\n", CROSSINGS),
+    Mutant("a close over bytes that lie unread", "sagetrestle/net/transport/connection.py",
+           "return not self.partial() and not has_unread(self.transport)", "return not self.partial()", CROSSINGS),
+    Mutant("a close within a request", "sagetrestle/net/transport/connection.py",
+           "return not self.partial() and not has_unread(self.transport)", "return not has_unread(self.transport)",
+           CROSSINGS),
+    Mutant("a close at once in place of a half-close", "sagetrestle/net/transport/connection.py",
+           "            self.transport.resumeProducing()\n            self.half_close()",
+           "            self.transport.loseConnection()", CROSSINGS),
+    Mutant("answers lost to half a request behind them", "sagetrestle/net/transport/connection.py",
+           "if not self._choked and self.owes_answers():", "if False:", CROSSINGS),
+    Mutant("no last look at the connections", "sagetrestle/net/routing/chores.py",
+           "turn.effects.append(TakeInWaiting())", "pass", CROSSINGS),
+    Mutant("a last look that keeps to the pace", "sagetrestle/net/transport/thrift_front.py",
+           "while not self._broken and (frame := self._frames.next()) is not None:", "while False:", CROSSINGS),
+    Mutant("an end that waits for no buffer", "sagetrestle/net/program/main.py",
+           "self._stop_once_closed(self.reactor.seconds() + EXIT_WITHIN_S)", "self._stop_once_closed(0.0)", CROSSINGS),
+    Mutant("an end that waits for a reader that never comes", "sagetrestle/net/program/main.py",
+           "if self.reactor.seconds() < latest and any(", "if any(", CROSSINGS),
+    Mutant("a connection of SCGI left with its request unread", "sagetrestle/net/transport/scgi_front.py",
+           "self._request.untouched and not has_unread(self.transport)", "self._request.untouched", CROSSINGS),
+)
 STRAIN = (
     Mutant("slots that others may still have given away", "sagetrestle/quota/slots.py",
            "share = min(parts.get(holder, 0), one.high + free)", "share = parts.get(holder, 0)", SLOTS),
@@ -232,7 +264,7 @@
            (*PROMISE_TESTS, MEMORY + "a_tenant_is_steered_off_a_region_that_turns_slow")),
 )
 MUTANTS = (
-    *STRAIN, *TERMS, *PICTURE, *PROMISES,
+    *CLOSING, *STRAIN, *TERMS, *PICTURE, *PROMISES,
     Mutant("a spoilt key freed", "sagetrestle/store/journal.py", "entries.append(Entry(Kind.LOST, key, now_us))",
            "pass", JOURNAL),
     Mutant("entries behind one that can not be decoded dropped", "sagetrestle/store/journal.py",
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -24,7 +24,7 @@
 from sagetrestle.net.routing.reducer import HANDLERS
 from sagetrestle.net.routing.state import join_pair, new_state
 from sagetrestle.net.routing.values import ConnectionId
-from sagetrestle.net.transport.connection import Front
+from sagetrestle.net.transport.connection import BACKLOG, Front
 from sagetrestle.net.transport.dnssd import DnsResponder, ServiceAuthority
 from sagetrestle.net.transport.ends import Post
 from sagetrestle.net.transport.kernel_link import KernelLink
@@ -41,11 +41,10 @@
     from sagetrestle.net.transport.credentials import CredentialReader
     from sagetrestle.net.transport.management import ManagementFront
 
-BACKLOG = 512
 COLLECT = (5_000, 10, 10)  # almost nothing here is part of a cycle: looking for them seldom is enough
 DNS_AGAIN_S = 0.25
 FLEET_AGAIN_S = 0.1
-EXIT_AFTER_S = 0.03  # for the last answers to leave their sockets
+EXIT_WITHIN_S, EXIT_POLL_S = 0.1, 0.005  # for the last answers to be taken; between looks whether they are
 SCGI_FILE, IDENTITY_FILE = Path("deploy/scgi.toml"), Path("deploy/identity.toml")
 LOG_FILE, DISCOVERY_FILE = Path("deploy/log.toml"), Path("deploy/discovery.toml")
 FLEET_FILE = Path("deploy/fleet.toml")
@@ -141,11 +140,15 @@
             lambda load: deferToThreadPool(reactor, reactor.getThreadPool(), load), self._tls)
         return credentials
 
-    def start(self) -> None:
-        """Begin with the first turn."""
+    def start(self, early: signals.EarlySignals) -> None:
+        """Begin with the first turn, and with the notices that came before it."""
         signals.on_stop(self.reactor, lambda: self.loop.post(StopAsked()))
         signals.on_reload(self.reactor, self.reload)
         self.begin()
+        if early.reload_asked:
+            self.reload()
+        if early.stop_asked:
+            self.loop.post(StopAsked())
 
     def begin(self) -> None:
         """Post the first input; signals are whoever's who runs the process."""
@@ -188,9 +191,12 @@
                 self._with_connection(name, self.fronts[name.front].leave)
             case fx.Doubt(name):
                 self._with_connection(name, self.fronts[name.front].doubt)
-            case fx.CloseConnection(name, unless_partial):
+            case fx.TakeInWaiting():
+                for front in self.fronts.values():
+                    front.take_in_waiting()
+            case fx.CloseConnection(name, unless_heard):
                 self._with_connection(
-                    name, lambda one: None if unless_partial and one.partial() else one.close())
+                    name, lambda connection: connection.close() if connection.quiet() or not unless_heard else None)
             case fx.AnswerOperator(caller, reply):
                 self.management.answer(caller, reply)
             case fx.ConnectKernel(number, address):
@@ -341,7 +347,14 @@
             self.handover.close()
         if self.fleet:
             self.fleet.close()
-        self.reactor.callLater(EXIT_AFTER_S, self.reactor.stop)
+        self._stop_once_closed(self.reactor.seconds() + EXIT_WITHIN_S)
+
+    def _stop_once_closed(self, latest: float) -> None:
+        """End the loop once the other sides have taken all that was written, or the time for that is over."""
+        if self.reactor.seconds() < latest and any(front.connections for front in self.fronts.values()):
+            self.reactor.callLater(EXIT_POLL_S, self._stop_once_closed, latest)
+        else:
+            self.reactor.stop()
 
     def _failed(self, text: str) -> None:
         """Note what should not happen, with where it did."""
@@ -351,7 +364,7 @@
 
 def main() -> int:
     """Run one scorer until it is told to leave."""
-    signals.ignore_reload()
+    early = signals.EarlySignals()
     reread = partial(read_config, os.environ, SCGI_FILE, IDENTITY_FILE, DISCOVERY_FILE, FLEET_FILE)
     try:
         logger = log.set_up(log.read_form(LOG_FILE))
@@ -366,7 +379,7 @@
     except ConfigError as error:
         print(f"sagetrestle: {error}", file=sys.stderr)
         return 2
-    scorer.start()
+    scorer.start(early)
     gc.freeze()
     gc.set_threshold(*COLLECT)
     reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
--- a/sagetrestle/net/program/signals.py
+++ b/sagetrestle/net/program/signals.py
@@ -1,4 +1,4 @@
-"""The notices to leave and to read the configuration again."""
+"""The notices to leave and to read the configuration again, from the process's first moments on."""
 
 from __future__ import annotations
 
@@ -18,6 +18,17 @@
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
 
 
-def ignore_reload() -> None:
-    """Let a reload that comes before the first reading of the configuration pass."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+class EarlySignals:
+    """Notes the notices that come before there is a loop to take them; either would end the process otherwise."""
+
+    def __init__(self) -> None:
+        self.stop_asked = self.reload_asked = False
+        signal.signal(signal.SIGTERM, self._note_stop)
+        signal.signal(signal.SIGINT, self._note_stop)
+        signal.signal(signal.SIGHUP, self._note_reload)
+
+    def _note_stop(self, *_: Any) -> None:
+        self.stop_asked = True
+
+    def _note_reload(self, *_: Any) -> None:
+        self.reload_asked = True
--- a/sagetrestle/net/program/translate.py
+++ b/sagetrestle/net/program/translate.py
@@ -27,6 +27,7 @@
 from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig, with_fleet, with_identity
 from sagetrestle.net.program.limits import Limits, derive
 from sagetrestle.net.program.main import Scorer
+from sagetrestle.net.program.signals import EarlySignals
 from sagetrestle.net.program.upstream import GroupCommit, Upstream, UpstreamTerms
 from sagetrestle.net.routing.values import Peers, Plan
 from sagetrestle.router import Router, RouterTerms
@@ -228,10 +229,10 @@
         due = request.arrived + (cls.aim_us if cls.effect is Effect.SAFE and not cls.late_share else cls.deadline_us)
         return request.key, request.tenant, due, request.retry, request.hint_us / 1000
 
-    def start(self) -> None:
-        """Settle what the journal holds, and begin."""
+    def start(self, early: EarlySignals) -> None:
+        """Settle what the journal holds, and begin, with the notices that came meanwhile."""
         self.recover()
-        self.core.start()
+        self.core.start(early)
 
     def recover(self) -> None:
         """Settle what the journal holds, and compact it."""
@@ -252,12 +253,13 @@
     from twisted.internet import reactor
     from twisted.internet.threads import deferToThreadPool
     reactor.seconds = time.monotonic  # type: ignore[attr-defined]
+    early = EarlySignals()
     logger = log.set_up()
     try:
         config = load_translate(path)
         translator = Translator(
             reactor, config, logger, lambda act: deferToThreadPool(reactor, reactor.getThreadPool(), act), at)
-        translator.start()
+        translator.start(early)
     except (ConfigError, JournalError) as error:
         print(f"sagetrestle: {error}", file=sys.stderr)
         return 2
--- a/sagetrestle/net/routing/chores.py
+++ b/sagetrestle/net/routing/chores.py
@@ -8,7 +8,8 @@
 from sagetrestle.interface import Drain, Gone
 from sagetrestle.net.routing import access, fronts, health, inputs, runs
 from sagetrestle.net.routing.effects import (
-    AskGauges, AskToLeave, CloseConnection, Exit, Listen, ListenToOperators, StopListening, UseLedger, UseRoster,
+    AskGauges, AskToLeave, CloseConnection, Exit, Listen, ListenToOperators, StopListening, TakeInWaiting, UseLedger,
+    UseRoster,
 )
 from sagetrestle.net.routing.state import Drain as DrainState
 from sagetrestle.net.routing.state import Link
@@ -23,7 +24,8 @@
 SILENT_US = 1_500_000  # how long a connection may bring no valid request at all
 CROWDED_SHARE, CROWDED_IDLE_US = 0.6, 2_000_000  # of a front's room; what is idle longer must leave then
 DRAIN_EVERY_US = 20_000
-EXIT_BEFORE_US = 120_000  # the process ends so long before it would be stopped
+EXIT_BEFORE_US = 150_000  # the process begins to end so long before it would be stopped
+LAST_LOOK_US = 10_000  # for answering what came on connections that the other side kept open
 CLOSE_SHARE = 0.6  # of the notice: with a short one the fronts close before the grace is over
 
 
@@ -84,14 +86,13 @@
         return
     grace = min(state.plan.settings.drain_grace_us, int(state.plan.stop_us * CLOSE_SHARE))
     stop_at = turn.now + state.plan.stop_us
-    state.drain = DrainState(turn.now, turn.now + grace, stop_at - EXIT_BEFORE_US)
+    close_at = turn.now + grace if state.policy else turn.now  # before the kernel is up nothing can be served
+    state.drain = DrainState(turn.now, close_at, stop_at - EXIT_BEFORE_US)
     state.chores["drain"] = state.drain.close_at
     state.healthy = False
     health.changed(turn)
     if state.policy:
         turn.events.append(Drain(stop_at))
-    else:
-        _exit(turn)
 
 
 def _connect(turn: Turn) -> None:
@@ -149,7 +150,7 @@
             if one.proven:
                 turn.effects.append(AskToLeave(name))
         elif one.leaving_at is not None and turn.now - one.leaving_at >= (LEAVING_US if one.proven else unproven_us):
-            turn.effects.append(CloseConnection(name, unless_partial=True))
+            turn.effects.append(CloseConnection(name, unless_heard=True))
     turn.state.keys.sweep(turn.now)
     turn.state.chores["idle"] = turn.now + IDLE_EVERY_US
 
@@ -157,21 +158,28 @@
 def _drain(turn: Turn) -> None:
     """Close the fronts once the grace is over, and end once nothing is open or the time is up.
 
-    Connections are left in the agreed way and not cut, as a request may be on its way on any of them.
+    Connections are left in the agreed way and not cut, as a request may be on its way on any of them. The end comes
+    turns after the listening's: what waited at the sockets until then may bring requests, which get their answers.
     """
     state, drain = turn.state, turn.state.drain
     assert drain is not None
     if not drain.closed:
         drain.closed = True
         turn.effects.append(StopListening())
+        state.chores["drain"] = turn.now + DRAIN_EVERY_US
+        return
     for name, one in state.connections.items():
         if one.leaving_at is None:
             one.leaving_at = turn.now
             turn.effects.append(AskToLeave(name))
     owed = state.unverified or any(entry.owed for entry in state.entries.values())
     owed = owed or state.pair is not None and state.pair.busy(state)
-    if turn.now >= drain.exit_at or not (state.connections or owed):
+    if drain.last_look or not (state.connections or owed):
         _exit(turn)
+    elif turn.now >= drain.exit_at:
+        drain.last_look = True
+        turn.effects.append(TakeInWaiting())
+        state.chores["drain"] = turn.now + LAST_LOOK_US
     else:
         state.chores["drain"] = min(drain.exit_at, turn.now + DRAIN_EVERY_US)
 
--- a/sagetrestle/net/routing/effects.py
+++ b/sagetrestle/net/routing/effects.py
@@ -21,6 +21,10 @@
     """Open the second address."""
 
 
+class TakeInWaiting(NamedTuple):
+    """Take in what has come on the fronts' connections and was not looked at yet."""
+
+
 class StopListening(NamedTuple):
     """Take no new connections; what waits at sockets that are shared is left to the other process."""
 
@@ -76,10 +80,10 @@
 
 
 class CloseConnection(NamedTuple):
-    """Close a connection once what was written to it is sent; ``unless_partial``: not within a request."""
+    """Close a connection once what was written to it is sent; ``unless_heard``: not if something has come on it."""
 
     connection: ConnectionId
-    unless_partial: bool = False
+    unless_heard: bool = False
 
 
 class Doubt(NamedTuple):
@@ -173,7 +177,7 @@
 
 
 Effect = Union[
-    Listen, ListenToOperators, StopListening, Room, ToOther, SendAnswer, SendHealth,
+    Listen, ListenToOperators, StopListening, TakeInWaiting, Room, ToOther, SendAnswer, SendHealth,
     AnswerOperator, AskToLeave, CloseConnection, Doubt, ConnectKernel,
     OpenKernel, UseLedger, UseRoster, CommandRun, AskGauges, PostCall, AbandonCall, Report, Announce,
     WriteLog, Exit,
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -107,7 +107,8 @@
     at: int
     close_at: int
     exit_at: int
-    closed: bool = False
+    closed: bool = False  # the listening has ended
+    last_look: bool = False  # what had come on the connections by ``exit_at`` was taken in
 
 
 @dataclass(slots=True)
--- a/sagetrestle/net/transport/connection.py
+++ b/sagetrestle/net/transport/connection.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import select
 from typing import Any, Generic, TypeVar
 
-from twisted.internet.interfaces import IListeningPort, IPushProducer
+from twisted.internet.interfaces import IHalfCloseableProtocol, IListeningPort, IPushProducer
 from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
@@ -16,9 +17,21 @@
 from sagetrestle.net.transport.ends import Post, end_of, end_of_fault
 
 STALLED_S = 2.0  # for the rest of a request that has begun, and for taking the answers that wait
+LINGER_S = 1.0  # for the other side to end a connection that this side has ended
+BACKLOG = 512  # connections that may wait at a listening socket
 
 
-@implementer(IPushProducer)
+def has_unread(transport: Any) -> bool:
+    """Tell whether bytes, or the other side's end, wait unread at a transport's socket."""
+    descriptor = transport.fileno()
+    if descriptor < 0:
+        return False
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    return bool(poller.poll(0))
+
+
+@implementer(IPushProducer, IHalfCloseableProtocol)
 class FrontConnection(Protocol, TimeoutMixin):
     """A connection that reads nothing more while the other side does not take its answers, or is paced.
 
@@ -27,9 +40,10 @@
 
     factory: Front
     name: ConnectionId | None = None  # once admitted
+    _linger: Any = None  # the timer that bounds the other side's end, once this side has ended
 
     def connectionMade(self) -> None:  # noqa: D102
-        self._choked = self._paced = False
+        self._choked = self._paced = self._peer_ended = False
         self._broken: tuple[ConnectionEnd, str] | None = None
         if self.factory.full():
             self.turn_down()
@@ -60,6 +74,18 @@
         """Tell whether a request has begun and its rest has yet to come."""
         raise NotImplementedError
 
+    def quiet(self) -> bool:
+        """Tell whether nothing has come that was not taken in yet: closing now loses no request."""
+        return not self.partial() and not has_unread(self.transport)
+
+    def owes_answers(self) -> bool:
+        """Tell whether a request that was read on this connection waits for its answer."""
+        return False
+
+    def take_in_waiting(self) -> None:
+        """Take in what has come and was not looked at yet, whatever the pace."""
+        raise NotImplementedError
+
     def _watch(self, renew: bool) -> None:
         """Bound the time that half a request, or answers that are not taken, may last."""
         if self._broken or self._paced or not (self._choked or self.partial()):
@@ -68,7 +94,10 @@
             self.setTimeout(STALLED_S)
 
     def timeoutConnection(self) -> None:
-        """Cut off a side that does not go on."""
+        """Cut off a side that does not go on; while answers are owed, half a request does not cost it those."""
+        if not self._choked and self.owes_answers():
+            self.setTimeout(STALLED_S)
+            return
         what = "answers are not taken" if self._choked else "a request stopped in its middle"
         self._broken = (ConnectionEnd.TIMED_OUT, what)
         self.transport.unregisterProducer()
@@ -104,13 +133,43 @@
         self.transport.abortConnection()
 
     def close(self) -> None:
-        """Close once what was written is sent."""
+        """End this side once what was written is sent; the other side ends its own, within a bound.
+
+        What still comes is read and dropped. Left unread it would make the close a reset, which takes with it
+        the answers that have not arrived yet.
+        """
+        if self._linger is not None:
+            return
         self._broken = self._broken or (ConnectionEnd.LEFT, "")
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        self.setTimeout(None)
+        if self.name is not None:
+            self.transport.unregisterProducer()
+        self._linger = self.callLater(LINGER_S, self.transport.abortConnection)
+        if self._peer_ended:
+            self.transport.loseConnection()
+        else:
+            self.transport.resumeProducing()
+            self.half_close()
+
+    def half_close(self) -> None:
+        """End the writing alone."""
+        self.transport.loseWriteConnection()
+
+    def readConnectionLost(self) -> None:
+        """End a connection that the other side has ended, once what was written is sent."""
+        self._peer_ended = True
+        if self._linger is None:
+            self.close()
+        else:
+            self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        """Our own half-close; the other side's end follows."""
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
         self.setTimeout(None)
+        if self._linger is not None and self._linger.active():
+            self._linger.cancel()
         if self.name and self.factory.connections.pop(self.name, None):
             end, detail = self._broken or (end_of(reason), "")
             self.factory.post(ConnectionEnded(self.name, end, detail))
@@ -152,6 +211,11 @@
         """Write the answer to a health check, on wires that have them."""
         raise NotImplementedError
 
+    def take_in_waiting(self) -> None:
+        """Take in what has come on any connection and was not looked at yet."""
+        for connection in list(self.connections.values()):
+            connection.take_in_waiting()
+
     def leave(self, connection: C) -> None:
         """Have no new request come on a connection."""
         raise NotImplementedError
@@ -198,6 +262,7 @@
         for port in (self.port, *self.more_ports):
             if port is not None:
                 if not shared:
+                    port.numberAccepts = BACKLOG + 1  # else it takes in about as many as the last time
                     port.doRead()
                 port.stopListening()
         self.port, self.more_ports = None, []
--- a/sagetrestle/net/transport/scgi_front.py
+++ b/sagetrestle/net/transport/scgi_front.py
@@ -6,11 +6,9 @@
 import socket
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import connectionDone
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
-from zope.interface import implementer
 
 from sagetrestle.identity.values import Presented
 from sagetrestle.interface import Settings
@@ -18,7 +16,7 @@
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.routing.inputs import RequestRead, RequestRejected
 from sagetrestle.net.routing.values import Answer, Bounds, Refused, Request, Ticket
-from sagetrestle.net.transport.connection import Front, FrontConnection
+from sagetrestle.net.transport.connection import Front, FrontConnection, has_unread
 from sagetrestle.net.transport.ends import Post
 from sagetrestle.net.transport.scgi_mapping import (
     DEFAULT_RANK, Rejected, Response, fault_response, read_call, to_response,
@@ -28,12 +26,10 @@
     from sagetrestle.net.transport.credentials import CredentialReader
 
 NO_ROOM_US = 1_000_000
-LINGER_S = 1.0  # how long input is still read and dropped after a response that did not wait for it
 PROBE_EVERY_S = 0.1
 TCP_CLOSED = 7  # the state in Linux's TCP_INFO after the other side reset the connection
 
 
-@implementer(IHalfCloseableProtocol)
 class ScgiConnection(FrontConnection):
     """One request and its response."""
 
@@ -49,11 +45,10 @@
         """Say that there is no room, and when to come back."""
         self.factory.turned_down.add(self)
         self.transport.write(scgi.encode_response(*to_response(Refused(NO_ROOM_US), None)))
-        self._half_close()
-        self.factory.reactor.callLater(LINGER_S, self.transport.abortConnection)
         self._responded = True
+        self.close()
 
-    def _half_close(self) -> None:
+    def half_close(self) -> None:
         """End the writing; over TLS that is the end of all, as its last record says so."""
         if self.factory.secure:
             self.transport.loseConnection()
@@ -72,8 +67,13 @@
         return not (self._request.untouched or self._request.complete or self._responded)
 
     def untouched(self) -> bool:
-        """Tell whether not a byte was read yet."""
-        return self._request.untouched
+        """Tell whether not a byte has come yet."""
+        return self._request.untouched and not has_unread(self.transport)
+
+    def take_in_waiting(self) -> None:
+        """Take in what has come and was not read yet."""
+        if not self._broken and has_unread(self.transport):
+            self.transport.doRead()
 
     def _take(self, request: scgi.ScgiRequest) -> None:
         try:
@@ -83,22 +83,13 @@
             self.respond(error.response)
 
     def broken(self, fault: ProtocolError) -> None:
-        """Say what is wrong before the end, and let the other side finish sending.
-
-        With unread input a close is a reset, which can overtake the response.
-        """
+        """Say what is wrong before the end, and let the other side finish sending."""
         self.factory.post(RequestRejected(self.name, str(fault)))
         if self._request.complete:  # bytes after the request: it has its answer to come, so only cut off
             super().broken(fault)
             return
         self._write(fault_response(fault))
-        self.transport.unregisterProducer()
-        self._half_close()
-        self.factory.reactor.callLater(LINGER_S, self._abort)
-
-    def _abort(self) -> None:
-        if self.name in self.factory.connections:
-            self.transport.abortConnection()
+        self.close()
 
     def respond(self, response: Response) -> None:
         """Write the response and close."""
@@ -117,24 +108,20 @@
         Every response starts with the same bytes, so these are written now: a caller that only half-closed
         gets the start of its response early, one that closed resets the connection, and is gone.
         """
-        if self.name is None:
-            self.transport.loseConnection()
-        elif self._responded or not self._request.complete:
-            if not self._responded:
-                self.factory.post(RequestRejected(self.name, "the input ended within the request"))
-                self._write(fault_response(ProtocolError("the input ended within the request")))
-            self.close()
+        if self.name is None or self._responded:
+            super().readConnectionLost()
+        elif not self._request.complete:
+            self.factory.post(RequestRejected(self.name, "the input ended within the request"))
+            self._write(fault_response(ProtocolError("the input ended within the request")))
+            super().readConnectionLost()
         elif self._probe is None:
-            self._started = True
+            self._peer_ended = self._started = True
             self.transport.unregisterProducer()
             self.transport.write(scgi.RESPONSE_START)
             self._probe = LoopingCall(self._look)
             self._probe.clock = self.factory.reactor
             self._probe.start(PROBE_EVERY_S, now=False)
 
-    def writeConnectionLost(self) -> None:
-        """Our own half-close after a fault; the other side's end follows."""
-
     def _look(self) -> None:
         info = self.transport.getHandle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
         if info[0] == TCP_CLOSED:
--- a/sagetrestle/net/transport/thrift_front.py
+++ b/sagetrestle/net/transport/thrift_front.py
@@ -11,7 +11,7 @@
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.routing.inputs import HealthAsked, RequestRead, RequestRejected, Withdrawn
 from sagetrestle.net.routing.values import Answer, Denied, Refused, Request, Served, Ticket
-from sagetrestle.net.transport.connection import Front, FrontConnection
+from sagetrestle.net.transport.connection import Front, FrontConnection, has_unread
 from sagetrestle.net.transport.denials import thrift_words
 from sagetrestle.net.transport.ends import Post
 
@@ -28,6 +28,7 @@
     def connectionMade(self) -> None:  # noqa: D102
         self._frames = thrift.FrameDecoder()
         self._last = 0  # request number
+        self._owed: set[int] = set()  # requests read and not answered
         self.standing = "new"
         super().connectionMade()
 
@@ -49,11 +50,32 @@
         """Tell whether a frame has begun."""
         return self._frames.partial
 
+    def owes_answers(self) -> bool:
+        """Tell whether a request that was read on this connection waits for its answer."""
+        return bool(self._owed)
+
+    def answered(self, seqid: int) -> None:
+        """Note that a request has its answer, or that nobody waits for it."""
+        self._owed.discard(seqid)
+
+    def take_in_waiting(self) -> None:
+        """Take in what has come and was not looked at yet, whatever the pace."""
+        if self._broken:
+            return
+        if has_unread(self.transport):
+            self.transport.doRead()
+        try:
+            while not self._broken and (frame := self._frames.next()) is not None:
+                self._take(thrift.read_call(thrift.decode_message(frame)))
+        except ProtocolError as fault:
+            self.broken(fault)
+
     def _take(self, call: object) -> None:
         post = self.factory.post
         if isinstance(call, thrift.Handle):
             self._handle(call)
         elif isinstance(call, thrift.Withdraw):
+            self.answered(call.target)
             post(Withdrawn(Ticket(self.name, call.target)))
         elif isinstance(call, thrift.Status):
             post(HealthAsked(Ticket(self.name, call.seqid)))
@@ -70,6 +92,7 @@
         if cls is None:
             self._reject("handle", call.seqid, thrift.PROTOCOL_ERROR, "field 'c' names no class")
             return
+        self._owed.add(call.seqid)
         arrived = self.factory.from_unix_ms(call.stamp_ms)
         shown = Presented(f"front end {call.caller}", front_end=call.caller) if self.factory.maps else None
         self.factory.post(RequestRead(Request(
@@ -102,6 +125,7 @@
         if connection:
             if isinstance(answer, Served):
                 connection.standing = "served"
+            connection.answered(ticket.seqid)
             connection.transport.write(_encode(ticket.seqid, answer, _value(value)))
 
     def send_health(self, ticket: Ticket, good: bool, value: float | None) -> None:
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from twisted.internet import error
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -70,6 +71,8 @@
 class Wire(StringTransport):
     """A socket in memory that ends in the ways that sockets do."""
 
+    ends_too = True  # once this side has ended its own
+
     def __init__(self, protocol: Any) -> None:
         super().__init__()
         self.protocol, self.connected = protocol, True
@@ -78,6 +81,10 @@
     def setTcpNoDelay(self, on: bool) -> None:
         """Do nothing."""
 
+    def fileno(self) -> int:
+        """Tell that there is no descriptor, and so nothing unread."""
+        return -1
+
     def end(self, reason: type[Exception] = error.ConnectionDone) -> None:
         """End the connection, once."""
         if self.connected:
@@ -87,7 +94,11 @@
     loseConnection = end
 
     def loseWriteConnection(self) -> None:
-        """Half-close; the other side has yet to close."""
+        """Half-close; a well-behaved other side then ends its own side too."""
+        if self.ends_too and IHalfCloseableProtocol.providedBy(self.protocol):
+            self.protocol.readConnectionLost()
+        elif self.ends_too:
+            self.end()
 
     def abortConnection(self) -> None:
         """End it from this side at once."""
@@ -487,7 +498,8 @@
                  managed: bool = False, elder: World | None = None, params: dict[str, Any] = PARAMS,
                  fresh: bool = False) -> None:
         self.booted = {"how": "fresh", "duration": 0} if fresh else {"how": "seasoned", "duration": 3_600_000}
-        self.test, self.reactor = test, elder.reactor if elder else MemoryReactorClock()
+        self.test = test
+        self.reactor = elder.reactor if elder else self.new_reactor()
         self.group = [elder, self] if elder else [self]  # worlds that share their time
         self.tokens: dict[str, str] = {}
         self.snapshots: dict[str, Any] = {}
@@ -497,7 +509,8 @@
         self.names: dict[str | None, str] = {}
         read = lambda: int(self.reactor.seconds() * 1e9)  # noqa: E731
         clock = Clock(lambda: read() + 1_000_000_000, lambda: read() + UNIX_MS * 1_000_000)
-        given = config(ScgiConfig(("127.0.0.1", 0)), plan=replace(plan(stop_ms, params), managed=managed),
+        given = config(ScgiConfig(("127.0.0.1", 0)), peers=self.peers(),
+                       plan=replace(plan(stop_ms, params), managed=managed),
                        identity=identity, management=("127.0.0.1", 0) if managed else None)
         logger = SimpleNamespace(info=self.lines.append)
         self.moved: Config | None = None
@@ -512,8 +525,7 @@
         links = len(self.reactor.tcpClients)
         self.scorer.loop.post(Started(given.peers, 1 if elder else 0))
         self.settle()
-        for front in self.scorer.fronts.values():
-            front.port = None  # the reactor's stand-in for a listening socket has nothing to accept
+        self.opened()
         self.actors: dict[str, Any] = {"platform": Platform(self), "ledger": LedgerPeer(self)}
         self.actors["operators"] = Operators(self)
         self.actors["operator"] = OperatorPeer(self)
@@ -521,6 +533,19 @@
         self.actors |= {"thrift": ThriftPeer(self), "thrift2": ThriftPeer(self), "scgi": ScgiPeer(self)}
         self.settle()
 
+    def new_reactor(self) -> Any:
+        """Return the loop on which the scorer runs, with a clock that the test moves."""
+        return MemoryReactorClock()
+
+    def peers(self) -> Peers:
+        """Return where kernel, ledger and roster are."""
+        return config().peers
+
+    def opened(self) -> None:
+        """Do what the listening fronts need."""
+        for front in self.scorer.fronts.values():
+            front.port = None  # the reactor's stand-in for a listening socket has nothing to accept
+
     def _reread(self) -> Config:
         if self.moved is None:
             raise ConfigError("kernel: missing or not ADDRESS:PORT")
@@ -582,10 +607,12 @@
     managed = False
     params = PARAMS
     fresh = False  # whether the kernel comes up cold, at this moment
+    world_type: type[World] = World
 
     def setUp(self) -> None:
         """Start the scorer."""
-        self.world = World(self, self.stop_ms, self.identity, self.managed, params=self.params, fresh=self.fresh)
+        self.world = self.world_type(
+            self, self.stop_ms, self.identity, self.managed, params=self.params, fresh=self.fresh)
         self.play = self.world.play
 
 
--- a/tests/net/test_confined.py
+++ b/tests/net/test_confined.py
@@ -5,6 +5,7 @@
 import os
 import platform
 import shlex
+import signal
 import struct
 import sys
 import tempfile
@@ -56,19 +57,23 @@
 class ConfinedTest(unittest.IsolatedAsyncioTestCase):
     """The deploy file's ``run`` under that filter."""
 
-    async def serve(self, **over):
-        """Start it, have one request served, and return its log and exit code."""
+    async def serve(self, hang_up=False, **over):
+        """Start it, have one request served, and return its log and exit code.
+
+        ``hang_up`` has it told to read its configuration again, on and on from its first moment until it listens.
+        """
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         kernel, ledger = EmulatedKernel(), EmulatedLedger()
         servers = {"kernel": await listen(kernel.serve), "ledger": await listen(ledger.serve)}
         ports = {name: port for name, (_, port) in servers.items()} | {"roster": 9}
         write_files(folder, "n1", Place().settings(), ports, {}, over=over)
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-        self.assertTrue(run.startswith("exec .venv/bin/python "), run)
+        self.assertTrue(run.startswith("trap '' HUP; exec .venv/bin/python "), run)
         run = run.replace(".venv/bin/python", shlex.quote(sys.executable), 1)
         env = os.environ | {"PYTHONPATH": str(ROOT), "ROUTER_CONFIG": f"{folder}/config.json", "TMPDIR": str(folder)}
         process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", run, cwd=folder, env=env, stderr=asyncio.subprocess.PIPE, preexec_fn=confine)
+        hanging_up = asyncio.create_task(self.hang_up(process)) if hang_up else None
         lines, port = [], 0
         while not (port and any("kernel up" in line for line in lines)):
             line = (await asyncio.wait_for(process.stderr.readline(), 20)).decode()
@@ -76,6 +81,8 @@
             lines.append(line)
             if "thrift front listens" in line:
                 port = int(line.rpartition(":")[2])
+        if hanging_up is not None:
+            hanging_up.cancel()
         front = await FrontEnd(port).connect()
         self.assertEqual("served", front.outcome(await front.ask(call_id("a"), "quick-check", b"x")))
         children = Path(f"/proc/{process.pid}/task/{process.pid}/children")
@@ -87,6 +94,19 @@
             server.close()
         return "".join(lines), code
 
+    async def hang_up(self, process):
+        """Ask for a reload again and again, once the shell has become the program."""
+        while Path(f"/proc/{process.pid}/cmdline").read_bytes().startswith(b"/bin/sh"):
+            await asyncio.sleep(0)
+        while process.returncode is None:
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.002)
+
+    async def test_reloads_asked_for_from_its_first_moment_on_end_nothing(self):
+        log, code = await self.serve(hang_up=True)
+        self.assertEqual(0, code, log)
+        self.assertIn("configuration read again", log)
+
     async def test_it_starts_serves_and_leaves(self):
         log, code = await self.serve()
         self.assertEqual((0, False), (code, "gap" in log), log)
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -1,9 +1,10 @@
 """The whole scorer in memory, by scenarios."""
 
 from dataclasses import replace
+from unittest import mock
 
 from sagetrestle.net.routing.inputs import RequestRead
-from tests.net.scenario import ScenarioCase
+from tests.net.scenario import ScenarioCase, Wire
 
 FILL = """
 thrift send f1 report-view
@@ -631,6 +632,7 @@
     def test_there_is_room_for_so_many_connections_and_no_more(self):
         front = self.world.scorer.fronts["scgi"]
         front.most = front.most_turned_down = 1
+        self.enterContext(mock.patch.object(Wire, "ends_too", False))
         self.play("""
             scgi send a report-view
             kernel expect SCHED a
@@ -713,9 +715,19 @@
             wait 200
             platform expect exit""")
 
-    def test_a_notice_before_the_kernel_is_up_ends_the_process(self):
+    def test_a_notice_before_the_kernel_is_up_ends_the_process_once_what_came_is_answered(self):
         self.world.scorer.loop.state.policy = None
-        self.play("platform send TERM\n platform expect exit")
+        self.play("""
+            thrift send half a quick-check
+            platform send TERM
+            wait 40
+            platform expect running
+            thrift send rest
+            thrift expect a refused
+            thrift expect leaving
+            thrift close
+            wait 40
+            platform expect exit""")
 
 
 class StartTest(ScenarioCase):
