--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -25,7 +25,6 @@
 from sagetrestle.net.routing.state import join_pair, new_state
 from sagetrestle.net.routing.values import ConnectionId
 from sagetrestle.net.transport.connection import BACKLOG, Front
-from sagetrestle.net.transport.dnssd import DnsResponder, ServiceAuthority
 from sagetrestle.net.transport.ends import Post
 from sagetrestle.net.transport.kernel_link import KernelLink
 from sagetrestle.net.transport.ledger_pool import LedgerPool
@@ -39,6 +38,7 @@
     from sagetrestle.net.program.handover import Handover
     from sagetrestle.net.program.identity import IdentityConfig
     from sagetrestle.net.transport.credentials import CredentialReader
+    from sagetrestle.net.transport.dnssd import DnsResponder
     from sagetrestle.net.transport.management import ManagementFront
 
 COLLECT = (5_000, 10, 10)  # almost nothing here is part of a cycle: looking for them seldom is enough
@@ -275,6 +275,7 @@
         front = self.fronts["scgi"]
         address = (host, self._open(front, host, port))
         if scgi.dns_listen:
+            from sagetrestle.net.transport.dnssd import DnsResponder, ServiceAuthority
             names = [cls.name for cls in self.config.plan.settings.classes]
             self.dns = DnsResponder(
                 ServiceAuthority(scgi.domain, scgi.instance, address, names), self.config.plan.bounds.dns)
--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -194,6 +194,38 @@
         self.assertTrue(peer.wire.sees_end())
 
 
+class FullFrontTest(CrossingCase):
+    """Idle clients that fill the front while discovery is down, so that nothing sends working ones elsewhere."""
+
+    def test_working_clients_are_served_and_idle_ones_have_their_polite_end_first(self):
+        front = self.world.scorer.thrift
+        idle = [self.peer() for _ in range(int(front.most * 0.7))]
+        for peer in idle:
+            peer.send("status")
+        self.world.wait(300)
+        rude, polite = idle[::2], idle[1::2]  # who never leave, and who leave when asked to
+        most_held = 0
+        for at in range(front.most // 2):
+            for peer in polite:
+                peer._read()
+                if "leaving" in peer.answers and peer.wire.connected:
+                    peer.close()
+            worker = self.peer()
+            worker.send(f"w{at}", "quick-check")
+            self.serve_all()
+            self.assert_answered(worker, f"w{at}")
+            most_held = max(most_held, len(front.connections))
+            self.world.wait(100)
+        self.assertLessEqual(most_held, front.most)
+        self.assertFalse(any("too many connections" in line for line in self.world.lines))
+        for peer in rude:
+            peer._read()
+            if not peer.wire.connected:
+                self.assertIn("leaving", peer.answers)
+                self.assertFalse(peer.wire.was_reset)
+        self.assertTrue(any(not peer.wire.connected for peer in rude))
+
+
 class ExitTest(CrossingCase):
     """What lies unread, or is not written yet, as the process ends."""
 
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -73,6 +73,18 @@
                         hit = [one for one in forbidden if short == one or short.startswith(f"{one}.")]
                         self.assertFalse(hit, f"{path.name}: {name}")
 
+    def test_a_start_loads_nothing_that_is_off_and_little_else(self):
+        """What is imported bounds the processor time of a start, of which scorers that start together share cores."""
+        code = ("import sys, sagetrestle.net.program.main\nfrom twisted.internet import reactor\n"
+                "print(*sys.modules)")
+        loaded = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True,
+                                check=True).stdout.split()
+        own = {name for name in loaded if name.startswith("sagetrestle.")}
+        off = ("handover", "fleet", "translate", "identity.guard", "dnssd", "takeover", "quota", "consensus", "lab")
+        self.assertEqual([], sorted(name for name in own if name.endswith(off)))
+        self.assertFalse({"twisted.names", "structlog", "click", "h2", "jwt"} & set(loaded))
+        self.assertLessEqual(len(own), 60)
+
     def test_the_core_loads_without_twisted(self):
         code = "import sys, sagetrestle.net.routing.reducer; print('twisted' in sys.modules)"
         got = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True)
