--- a/tests/net/sockets.py
+++ b/tests/net/sockets.py
@@ -99,9 +99,16 @@
     def dataReceived(self, data: bytes) -> None:
         """Write to the scorer, whose system has it on return."""
         self.socket.sendall(data)
-        receiver = self.world.scorer_sockets().get(self.socket.getsockname())
+        receiver = self.world.scorer_sockets().get(self.ends())
         assert wait_until(lambda: all_arrived(self.socket, receiver))
 
+    def ends(self) -> tuple[Any, Any]:
+        """Return the addresses of this end and of the scorer's."""
+        try:
+            return self.socket.getsockname(), self.socket.getpeername()
+        except OSError:  # reset
+            return None, None
+
     def take(self) -> bytes:
         """Return what has arrived since the last look."""
         got = b""
@@ -196,16 +203,16 @@
         """Have what left the scorer's sockets arrive."""
         ends = self.scorer_sockets()
         for wire in self.wires:
-            if wire.socket.fileno() >= 0 and not wire.is_full and (sender := ends.get(wire.socket.getsockname())):
+            if wire.socket.fileno() >= 0 and not wire.is_full and (sender := ends.get(wire.ends())):
                 wait_until(lambda sender=sender, wire=wire: all_arrived(sender, wire.socket))
 
     def scorer_sockets(self) -> dict[Any, socket.socket]:
-        """Return the scorer's ends of its open connections, by the address of the other end."""
+        """Return the scorer's ends of its open connections, by the addresses of the other end and their own."""
         found = {}
         for selectable in self.reactor._selectables.values():
             if getattr(selectable, "protocol", None) and selectable.connected:
                 with suppress(OSError):
-                    found[selectable.socket.getpeername()] = selectable.socket
+                    found[selectable.socket.getpeername(), selectable.socket.getsockname()] = selectable.socket
         return found
 
     def jump(self, ms: int) -> None:
