--- a/sagetrestle/net/program/signals.py
+++ b/sagetrestle/net/program/signals.py
@@ -1,4 +1,4 @@
-"""The notices to leave and to read the configuration again, from the process's first moments on."""
+"""The notices to leave and to read the configuration again, also those that come before there is a loop."""
 
 from __future__ import annotations
 
