Give SCGI requests ids that no other process of the scorer draws

Cause: the SCGI front drew its requests' ids from the configuration's seed, which both processes of an upgrade are given, and results, handed-over keys and the policy's records are kept by id alone. Nothing checked either that a Thrift caller's id stays one request's once that has ended, which gives the same mix-up in one process.

Keys and bodies were right on both sides, so neither the key table nor the transfer of keys is at fault.

Change: ids are drawn from the operating system's random numbers; a request whose id is remembered under another key fails at the door, on every front; the newer process denies a claim for an id that it uses itself.

--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -140,9 +140,7 @@
     def _add_scgi(self, kind: str, held_kb: float, post: Post, credentials: Any) -> None:
         """Add the SCGI front ``scgi``, or ``scgis`` with TLS."""
         plan = self.config.plan
-        self.fronts[kind] = ScgiFront(
-            self.reactor, plan.settings, post, plan.bounds, held_kb, plan.seed, kind, credentials
-        )
+        self.fronts[kind] = ScgiFront(self.reactor, plan.settings, post, plan.bounds, held_kb, kind, credentials)
 
     def _add_identity(self, identity: IdentityConfig, post: Post) -> CredentialReader:
         """Set up identity checks and the SCGI front with TLS; their libraries are imported only here."""
--- a/sagetrestle/net/routing/handover.py
+++ b/sagetrestle/net/routing/handover.py
@@ -23,6 +23,7 @@
 # SIGKILL follows SIGTERM by the longest deadline plus 0.7 s; the process exits after its deadline plus 0.58 s.
 MAX_EXIT_WAIT_US = 3_000_000  # bounds the longest deadline in that sum
 EXIT_WAIT_MARGIN_US = 580_000
+NO_BODY_DIGEST = b""  # equals no body's digest, so that a denial with it is a conflict
 MIN_CONNECTIONS = 8  # of a front, however many descriptors the old process holds
 
 
@@ -288,8 +289,15 @@
         turn.log("the older process is gone")
 
     def _handle_claim(self, turn: Turn, claim: messages.Claim) -> None:
-        """Decide on a claim of the old process; grant it unless another attempt ran within the window."""
+        """Decide on a claim of the old process; grant it unless another attempt ran within the window.
+
+        An attempt whose id is in use here conflicts, as its result could not be told from that of the other one.
+        """
         record, keys = claim.record, turn.state.keys
+        if record.id in turn.state.entries or keys.knows_id(record.id):
+            turn.log(f"claim of {record.id} denied: its id came before")
+            self._send_to_old_process(turn, messages.Denied(record.id, record.id, NO_BODY_DIGEST))
+            return
         ran = keys.find_conflicting_run(record)
         if ran is None:
             keys.adopt_remote_run(record)
--- a/sagetrestle/net/routing/idempotency.py
+++ b/sagetrestle/net/routing/idempotency.py
@@ -86,6 +86,14 @@
         alive = state.latest_this_turn or self._earlier_attempt(state, request, now)
         return bool(alive) and state.digest != _digest(request.body)
 
+    def is_id_of_another_key(self, request: Request) -> bool:
+        """Return whether an attempt with this request's id is remembered under another key.
+
+        Results are stored by id alone, so one of two requests with the same id would get the other's result.
+        """
+        known_key = self.keys_by_id.get(request.id)
+        return known_key is not None and known_key != self.key_of(request)
+
     def register(self, request: Request, now: int) -> str | None:
         """Register a request that was read and return the id of the attempt that it repeats, if any.
 
@@ -195,6 +203,10 @@
             return None
         return state.last_run_id, state.digest
 
+    def knows_id(self, id: str) -> bool:
+        """Return whether an attempt with this id is remembered, under any key."""
+        return id in self.keys_by_id
+
     def adopt_remote_run(self, record: KeyRecord) -> None:
         """Remember an attempt that ran in another process as if it had run here."""
         key = self._key_of_record(record)
--- a/sagetrestle/net/routing/ingress.py
+++ b/sagetrestle/net/routing/ingress.py
@@ -153,6 +153,9 @@
 
 def _admit(turn: Turn, connection: Connection, request: Request, verdict: Verdict | None = None) -> None:
     """Admit an authenticated request unless its key, an operator's pause or a quota forbids it."""
+    if turn.state.keys.is_id_of_another_key(request):
+        _reject_suspicious(turn, request, "its id came before with another key", Failed())
+        return
     if turn.state.keys.conflicts(request, turn.now):
         _reject_suspicious(turn, request, "its key came before with another body", Failed(FailCause.CONFLICT))
         return
--- a/sagetrestle/net/transport/scgi_front.py
+++ b/sagetrestle/net/transport/scgi_front.py
@@ -156,7 +156,6 @@
         post: Post,
         bounds: Bounds,
         held_kb: float,
-        seed: int,
         kind: str = "scgi",
         credentials: CredentialReader | None = None,
     ) -> None:
@@ -165,7 +164,8 @@
         self.max_refused_connections = bounds.turned_down
         self.refused_connections: set[ScgiConnection] = set()
         self._settings, self._held_kb = settings, held_kb
-        self._request_ids = random.Random(f"{seed}/{kind}")  # seeded per front, as the ids of two fronts must differ
+        # Not seeded by the configuration: both processes of an upgrade are given one seed, and ids must be unique.
+        self._request_ids = random.Random()
 
     def sends_refusals(self) -> bool:
         """Return whether one more connection may get a refusal; in a flood the rest is closed without one."""
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -3,7 +3,7 @@
 from sagetrestle.handover import old_process, messages
 from sagetrestle.net.routing.inputs import NewProcessEvent
 from tests.net import scenario
-from tests.net.scenario import KernelPeer, PairCase
+from tests.net.scenario import KernelPeer, PairCase, call_id
 
 
 class TakeOverTest(PairCase):
@@ -258,6 +258,60 @@
             old thrift expect a served result
             new thrift expect b served result""")
 
+    # Guards against a charge that is served with the result of another one, whose request got the same id.
+    def test_an_scgi_charge_of_the_old_process_keeps_its_result_beside_those_of_the_new_process(self):
+        self.pair("""
+            old scgi send a paid-check key=A body=first
+            old kernel expect SCHED a first
+            old kernel send done a result-a
+            old scgi expect a 200 result-a""")
+        self.upgrade()
+        self.pair("""
+            wait 100
+            new scgi send b paid-check key=B body=second
+            new kernel expect SCHED b second
+            new kernel send done b result-b
+            new scgi expect b 200 result-b
+            new scgi send c paid-check key=A body=first retry=1
+            new scgi expect c 200 result-a
+            new thrift send d paid-check key=A body=first retry=1
+            new thrift expect d served result-a
+            new thrift send e paid-check key=B body=second retry=1
+            new thrift expect e served result-b
+            new kernel expect nothing""")
+
+    # Guards against a charge that is served with the result of another one, as a caller used an id again.
+    def test_an_id_that_the_old_process_ran_fails_under_another_key_at_the_new_process(self):
+        self.pair(f"""
+            old thrift send a paid-check key=A body=first id={call_id("x")}
+            old kernel expect SCHED x first
+            old kernel send done x result-a
+            old thrift expect a served result-a""")
+        self.upgrade()
+        self.pair(f"""
+            wait 100
+            new thrift send b paid-check key=B body=second id={call_id("x")}
+            new thrift expect b failed
+            new thrift2 send c paid-check key=A body=first retry=1
+            new thrift2 expect c served result-a
+            new kernel expect nothing""")
+
+    # Guards against two runs under one id, one at each process, whose results could not be told apart.
+    def test_a_queued_attempt_fails_if_its_id_runs_at_the_new_process(self):
+        self.fill_old()
+        self.pair(f"old thrift send a paid-check key=A body=first id={call_id('x')}")
+        self.upgrade()
+        self.pair(f"""
+            new thrift send b paid-check key=B body=second id={call_id("x")}
+            new kernel expect SCHED x second
+            old kernel send done f1 x
+            old thrift expect a failed
+            old kernel expect nothing
+            new kernel send done x result-b
+            new thrift expect b served result-b
+            new thrift send c paid-check key=B body=second retry=1
+            new thrift expect c served result-b""")
+
     def test_every_key_of_a_large_table_passes_with_its_result(self):
         count = 700
         for at in range(count):
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from sagetrestle.net.routing.inputs import RequestRead
-from tests.net.scenario import ScenarioCase, Wire
+from tests.net.scenario import ScenarioCase, Wire, call_id
 
 FILL = """
 thrift send f1 report-view
@@ -226,6 +226,24 @@
             kernel send done a result
             thrift expect a served result""")
 
+    # Guards against a charge that is served with the result of another request, as a caller used an id again.
+    def test_the_id_of_an_ended_charge_fails_under_another_key_or_none(self):
+        self.play(f"""
+            thrift send a paid-check key=A body=first id={call_id("x")}
+            kernel expect SCHED x first
+            kernel send done x result-a
+            thrift expect a served result-a
+            thrift2 send b paid-check key=B body=second id={call_id("x")}
+            thrift2 expect b failed
+            thrift2 send c quick-check id={call_id("x")}
+            wait 200
+            thrift2 expect c failed
+            thrift send d paid-check key=A body=first retry=1
+            thrift expect d served result-a
+            thrift send e paid-check key=A body=first retry=1 id={call_id("x")}
+            thrift expect e served result-a
+            kernel expect nothing""")
+
     def test_a_stamp_ahead_of_the_clock_or_from_long_ago_fails_and_teaches_nothing(self):
         """A stamp of 1970 was taken for 56 years of waiting unread, so the policy left the roster."""
         self.play("""
