Answer a request by the time that its caller waits, which comes with it

Cause: the Thrift front did not read d and the core's request had no place for it, so the module was told "no deadline given" and, like the core's own check for overdue requests, went by the class's limit.

Change: the front reads d, a request has timeout_us and one method for its deadline, min(timeout, class's limit), used for the module's due_us, requests read too late, lost in a failed turn or unverified, the text of a failure, and the translator's attempts.

--- a/sagetrestle/net/program/translate.py
+++ b/sagetrestle/net/program/translate.py
@@ -273,12 +273,11 @@
         must end by then; a charge is worth querying until its deadline.
         """
         request = self.core.loop.state.entries[id].request
-        request_class = self._config.core.plan.settings.classes[request.class_index]
-        deadline = request.arrived + (
-            request_class.aim_us
-            if request_class.effect is Effect.SAFE and not request_class.late_share
-            else request_class.deadline_us
-        )
+        settings = self._config.core.plan.settings
+        request_class = settings.classes[request.class_index]
+        deadline = request.deadline_us(settings)
+        if request_class.effect is Effect.SAFE and not request_class.late_share:
+            deadline = min(deadline, request.arrived + request_class.aim_us)
         return request.key, request.tenant, deadline, request.retry, request.hint_us / 1000
 
     def start(self, early: EarlySignals) -> None:
--- a/sagetrestle/net/protocol/thrift.py
+++ b/sagetrestle/net/protocol/thrift.py
@@ -21,6 +21,7 @@
 RANK_RANGE = (0.0, 1.0)
 BOOKED_KB_RANGE = (0.0, 2000.0)
 HINT_MS_RANGE = (0.0, 1e6)
+TIMEOUT_MS_RANGE = (0.0, 1e15)  # as long as it can be written: the core limits it by the class's deadline
 CALLER_LIMIT = 2**31  # caller numbers are below
 VERSION = 0x80010000
 
@@ -237,6 +238,7 @@
     rank: float
     key: str | None
     subject: str | None
+    timeout_ms: float | None  # how long the caller waits, counted from the stamp; None if it does not tell
     body: bytes
 
 
@@ -307,6 +309,7 @@
             _number(fields, "p", RANK_RANGE),
             _optional_name(fields, "k"),
             _optional_name(fields, "o"),
+            _number(fields, "d", TIMEOUT_MS_RANGE) if "d" in fields else None,
             body,
         )
     except KeyError as error:
--- a/sagetrestle/net/routing/access_control.py
+++ b/sagetrestle/net/routing/access_control.py
@@ -224,9 +224,9 @@
 
 def answer_overdue(turn: Turn) -> None:
     """Fail requests that wait for their verdict past the deadline, and all of them on exit."""
-    classes = turn.state.plan.settings.classes
+    settings = turn.state.plan.settings
     for request_ref, request in list(turn.state.unverified.items()):
-        if turn.state.exited or turn.now > request.arrived + classes[request.class_index].deadline_us:
+        if turn.state.exited or turn.now > request.deadline_us(settings):
             withdraw(turn, request_ref)
             turn.send_final_answer(request, Failed(FailCause.OVERDUE))
 
--- a/sagetrestle/net/routing/ingress.py
+++ b/sagetrestle/net/routing/ingress.py
@@ -116,7 +116,7 @@
         turn.send_final_answer(request, Refused(KERNEL_DOWN_RETRY_AFTER_US))
     elif stamp > turn.now + MAX_CLOCK_SKEW_US:
         _reject_suspicious(turn, request, "its stamp is ahead of the clock", Failed())
-    elif turn.now > stamp + state.plan.settings.classes[request.class_index].deadline_us:
+    elif turn.now > request.deadline_us(state.plan.settings):
         # The policy would take an old stamp for a long wait of unread input.
         connection.validated = True
         turn.send_final_answer(request, Failed(FailCause.OVERDUE))
@@ -197,7 +197,7 @@
             request.class_index,
             access_control.fairness_caller(request),
             request.held_kb,
-            0,
+            request.deadline_us(turn.state.plan.settings),
             turn.state.tenant_indexes.get(request.tenant, 0),
             access_control.subject_of(request),
             request.hint_us,
--- a/sagetrestle/net/routing/periodic_tasks.py
+++ b/sagetrestle/net/routing/periodic_tasks.py
@@ -127,9 +127,9 @@
 
     The policy answers in time by itself; this covers inputs that were lost in a failed turn.
     """
-    classes = turn.state.plan.settings.classes
+    settings = turn.state.plan.settings
     for entry in list(turn.state.entries.values()):
-        if entry.unanswered and turn.now > entry.request.arrived + classes[entry.request.class_index].deadline_us:
+        if entry.unanswered and turn.now > entry.request.deadline_us(settings):
             turn.log(f"request {entry.request.id} was left unanswered by the module")
             turn.answer(entry, turn.failure_answer(entry))
             turn.events.append(RequestWithdrawn(entry.request.id))
--- a/sagetrestle/net/routing/turn.py
+++ b/sagetrestle/net/routing/turn.py
@@ -50,8 +50,8 @@
     def failure_answer(self, entry: RequestEntry) -> Failed:
         """Return the error answer for a request: ``OVERDUE`` past its deadline, otherwise ``RUN``."""
         settings = self.state.plan.settings
-        deadline = entry.request.arrived + settings.classes[entry.request.class_index].deadline_us
-        return Failed(FailCause.OVERDUE if self.now + settings.tick_us >= deadline else FailCause.RUN)
+        is_overdue = self.now + settings.tick_us >= entry.request.deadline_us(settings)
+        return Failed(FailCause.OVERDUE if is_overdue else FailCause.RUN)
 
     def finish(self, entry: RequestEntry, result: bytes | None = None) -> None:
         """Remove a finished request and answer the repeats that waited for its result."""
--- a/sagetrestle/net/routing/values.py
+++ b/sagetrestle/net/routing/values.py
@@ -57,6 +57,12 @@
     presented: PresentedCredentials | None = None
     tenant: str = ""
     split: bool = False  # read in several parts; ``arrived`` may be earlier than its first byte
+    timeout_us: int | None = None  # how long the caller waits, counted from ``arrived``; None if it does not tell
+
+    def deadline_us(self, settings: Settings) -> int:
+        """Return by when the request needs its final answer: when its caller or its class's deadline gives it up."""
+        limit_us = settings.classes[self.class_index].deadline_us
+        return self.arrived + (limit_us if self.timeout_us is None else min(self.timeout_us, limit_us))
 
 
 class Served(NamedTuple):
--- a/sagetrestle/net/transport/thrift_front.py
+++ b/sagetrestle/net/transport/thrift_front.py
@@ -116,6 +116,7 @@
                     call.subject,
                     presented,
                     split=self._frame_was_split,
+                    timeout_us=None if call.timeout_ms is None else int(call.timeout_ms * 1000),
                 )
             )
         )
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -159,6 +159,7 @@
 
     def __init__(self, world: World) -> None:
         self.world, self.numbers, self.answers = world, {}, {}
+        self.sent_at_ms: dict[str, int] = {}  # by the request's name
         self.frames, self.rest = thrift.FrameDecoder(1 << 20), b""
 
     @cached_property
@@ -193,7 +194,8 @@
 
     def _request(self, name: str, cls: str, *words: str) -> bytes:
         given = options(list(words))
-        stamp = UNIX_MS + self.world.now_ms() - int(given.get("age", 0))
+        self.sent_at_ms[name] = self.world.now_ms()
+        stamp = UNIX_MS + self.sent_at_ms[name] - int(given.get("age", 0))
         pairs = {
             "c": cls,
             "i": call_id(name),
@@ -205,7 +207,7 @@
         }
         pairs |= {
             short: given[long]
-            for short, long in (("k", "key"), ("r", "retry"), ("o", "about"), ("i", "id"))
+            for short, long in (("k", "key"), ("r", "retry"), ("o", "about"), ("i", "id"), ("d", "timeout"))
             if long in given
         }
         body = given.get("body", name).encode()
--- a/tests/net/test_protocol.py
+++ b/tests/net/test_protocol.py
@@ -99,6 +99,11 @@
             ),
         )
 
+    def test_the_time_that_the_caller_waits_may_be_absent(self):
+        for value, expected in ((None, None), ("480", 480.0), ("0", 0.0), ("12.5", 12.5), ("2147483647", 2147483647.0)):
+            with self.subTest(value):
+                self.assertEqual(expected, read(handle(d=value)[4:]).timeout_ms)
+
     def test_the_error_names_the_invalid_field(self):
         for name, value in (
             ("i", "xyz"),
@@ -117,6 +122,10 @@
             ("f", str(2**31)),
             ("i", None),
             ("r", "2"),
+            ("d", ""),
+            ("d", "-1"),
+            ("d", "nan"),
+            ("d", "soon"),
         ):
             with self.subTest(name):
                 result = read(handle(**{name: value})[4:])
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -172,6 +172,97 @@
             kernel expect SCHED b""")
 
 
+class CallerTimeoutTest(ScenarioCase):
+    """Requests that tell how long their caller waits: each gets its answer within that time, whatever it is doing."""
+
+    RUN = "thrift send a {} timeout=400\n kernel expect SCHED a\n"
+    AT_A_CALL = RUN + "kernel send IOREQ a question\n ledger expect post a question\n"
+
+    def assert_answered_at_the_timeout(self, answer, name="a", peer="thrift"):
+        """Expect the answer at the end of a timeout of 400 ms, which began with the last request sent."""
+        begun_ms = self.world.actors[peer].sent_at_ms[name]
+        self.world.wait(begun_ms + 380 - self.world.now_ms())
+        self.play(f"{peer} expect nothing {name}")
+        self.world.wait(begun_ms + 404 - self.world.now_ms())
+        self.play(f"{peer} expect {name} {answer}")
+
+    # Guards against a request that is not answered before its caller stops waiting, as only its class's limit counts.
+    def test_a_running_request_fails_when_its_caller_stops_waiting(self):
+        for request in ("report-view", "quick-check", "paid-check key=K"):
+            with self.subTest(request):
+                self.setUp()
+                self.play(self.RUN.format(request))
+                self.assert_answered_at_the_timeout("failed")
+
+    def test_a_request_at_a_call_fails_when_its_caller_stops_waiting(self):
+        for request in ("report-view", "paid-check key=K"):
+            with self.subTest(request):
+                self.setUp()
+                self.play(self.AT_A_CALL.format(request))
+                self.assert_answered_at_the_timeout("failed")
+                self.play("ledger expect abandon a")
+
+    def test_a_queued_request_is_refused_before_its_caller_stops_waiting(self):
+        for request in ("report-view", "paid-check key=K"):
+            with self.subTest(request):
+                self.setUp()
+                self.play(
+                    FILL
+                    + f"""
+                    thrift send a {request} timeout=400
+                    wait 396
+                    thrift expect a refused
+                    kernel expect nothing"""
+                )
+
+    def test_a_repeat_that_waits_for_another_attempt_has_a_timeout_of_its_own(self):
+        self.play("""
+            thrift send first paid-check key=K body=same timeout=5000
+            kernel expect SCHED first
+            thrift2 send a paid-check key=K body=same retry=1 timeout=400""")
+        self.assert_answered_at_the_timeout("failed", peer="thrift2")
+        self.play("""
+            kernel send done first result
+            thrift expect first served result""")
+
+    def test_a_charge_that_failed_at_its_timeout_is_not_run_again(self):
+        self.play(self.RUN.format("paid-check key=K body=same"))
+        self.assert_answered_at_the_timeout("failed")
+        self.play("""
+            kernel expect PREEMPT a
+            kernel send aborted a
+            thrift send b paid-check key=K body=same retry=1 timeout=4000
+            wait 4000
+            thrift expect b failed
+            kernel expect nothing""")
+
+    def test_a_request_read_after_its_caller_stopped_waiting_fails_at_once(self):
+        self.play("""
+            thrift send a paid-check key=K age=410 timeout=400
+            thrift expect a failed
+            thrift send b quick-check timeout=0
+            thrift expect b failed
+            kernel expect nothing""")
+
+    def test_a_longer_timeout_than_the_deadline_of_the_class_changes_nothing(self):
+        self.play("""
+            thrift send a paid-check key=K timeout=999999999999999
+            kernel expect SCHED a
+            wait 9200
+            thrift expect nothing a
+            wait 100
+            thrift expect a failed""")
+
+    def test_a_request_lost_in_a_failed_turn_fails_at_its_timeout(self):
+        self.play(self.RUN.format("quick-check"))
+        self.world.scorer.loop.state.policy.requests.clear()
+        self.world.scorer.loop.state.policy.answer_queue.clear()
+        self.play("""
+            wait 510
+            thrift expect a failed
+            platform expect log left unanswered""")
+
+
 class BadClientTest(ScenarioCase):
     """Faulty clients promptly get an error, a refusal or a close, at little cost to other clients."""
 
