--- a/sagetrestle/handover/__init__.py
+++ b/sagetrestle/handover/__init__.py
@@ -1,5 +1,5 @@
-"""Handing a scorer over from one process to the next: keys, results and the moment from which each is whose.
+"""Hot restart: handing keys, results and listening sockets over from the old process of a scorer to the new one.
 
-``elder`` and ``successor`` are the two state machines, ``claims`` what one process knows of the other's tries,
-``messages`` the values they exchange. No I/O, no clock: docs/design/handover.md has the reasons.
+``old_process`` and ``new_process`` are the two state machines, ``result_exchange`` tracks the attempts of the other
+process, and ``messages`` has the values they exchange. No I/O, no clock: docs/design/handover.md has the reasons.
 """
--- a/sagetrestle/handover/messages.py
+++ b/sagetrestle/handover/messages.py
@@ -1,4 +1,4 @@
-"""What elder and successor say to each other; times are microseconds on the machine's monotonic clock."""
+"""The messages between the old and the new process; times are microseconds on the machine's monotonic clock."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class KeyName(NamedTuple):
-    """A key by names that hold in both processes."""
+    """A key, by names that are the same in both processes."""
 
     cls: str
     tenant: str
@@ -18,7 +18,7 @@
 
 
 class KeyRecord(NamedTuple):
-    """A key whose window is open: the try that ran, when it arrived, and until when its window lasts."""
+    """A key whose window is open: the attempt that ran, its arrival, and the end of the window."""
 
     key: KeyName
     digest: bytes  # of the body
@@ -28,7 +28,7 @@
 
 
 class Hello(NamedTuple):
-    """A successor is there, of the same scorer at the same address."""
+    """The new process introduces itself, with the scorer's name and listening address."""
 
     version: int
     name: str
@@ -36,17 +36,17 @@
 
 
 class Welcome(NamedTuple):
-    """The elder knows its successor."""
+    """The old process accepts the new one."""
 
 
 class Busy(NamedTuple):
-    """There is another successor, or none can be taken now."""
+    """The old process already has a new one, or cannot hand over now."""
 
     why: str
 
 
 class Ask(NamedTuple):
-    """The successor has all but the keys, and asks for them."""
+    """The new process is ready but for the keys, and requests them."""
 
 
 class Records(NamedTuple):
@@ -56,9 +56,10 @@
 
 
 class Yours(NamedTuple):
-    """The token: from here on the keys are the successor's. ``fronts`` names the sockets that come with it.
+    """The ownership token: from here on the new process owns the keys.
 
-    ``doubt_until_us``: until then what no record names may have run at a process that is gone.
+    ``fronts`` names the listening sockets that come with it. Until ``doubt_until_us``, keys without a record may have
+    run at a process that is gone.
     """
 
     fronts: tuple[str, ...]
@@ -66,23 +67,23 @@
 
 
 class Serving(NamedTuple):
-    """The successor takes requests."""
+    """The new process serves."""
 
 
 class Claim(NamedTuple):
-    """The elder wants to run this try."""
+    """The old process asks whether it may run this attempt."""
 
     record: KeyRecord
 
 
 class Granted(NamedTuple):
-    """It may."""
+    """The attempt may run."""
 
     id: str
 
 
 class Denied(NamedTuple):
-    """It may not: the try ``by``, with this body, ran within whose window it came."""
+    """The attempt may not run: it came within the window of attempt ``by``, whose body has this digest."""
 
     id: str
     by: str
@@ -90,17 +91,17 @@
 
 
 class Results(NamedTuple):
-    """What became of tries that ran; None where there is no result. Each message is acknowledged by ``More``."""
+    """Results of attempts that ran, None for a failed one. Each message is acknowledged by ``More``."""
 
     results: tuple[tuple[str, bytes | None, int], ...]  # id, result, until when it may be asked for
 
 
 class More(NamedTuple):
-    """The last ``Results`` were taken."""
+    """The last ``Results`` were received."""
 
 
 class Load(NamedTuple):
-    """What the elder still holds of what both share."""
+    """The resources that the old process still holds, of those that both share."""
 
     memory_kb: float
     running: int
@@ -111,7 +112,7 @@
 
 
 def split_records(records: Sequence[KeyRecord]) -> list[Records]:
-    """Spread keys over messages of bounded length."""
+    """Split records into messages of bounded length."""
     return [
         Records(tuple(records[at : at + MAX_RECORDS_PER_MESSAGE]))
         for at in range(0, len(records), MAX_RECORDS_PER_MESSAGE)
--- a/sagetrestle/handover/new_process.py
+++ b/sagetrestle/handover/new_process.py
@@ -1,7 +1,7 @@
 """The new process of a hot restart: it takes over the old process's keys, or serves without them.
 
-``step(state, now, event) -> (state, decisions)``; times are microseconds. Whatever happens it decides to listen in
-time, and it says that keys may run only once it owns them or what ran elsewhere can not be repeated any more.
+``step(state, now, event) -> (state, decisions)``; times are microseconds. Whatever happens, the process starts to
+listen in time, and runs keyed requests only once it owns the keys or runs elsewhere can no longer be repeated.
 """
 
 from __future__ import annotations
@@ -12,47 +12,48 @@
 
 from sagetrestle.handover import messages
 
-WELCOME_TIMEOUT_US = 3_000_000  # from the start until it listens without having been welcomed
-KEYS_TIMEOUT_US = 2_000_000  # for the keys to come once asked for
-RECONNECT_INTERVAL_US = 200_000  # between two tries to reach an elder that is busy or lost
-SERVING_RECONNECT_INTERVAL_US = 1_000_000  # the same once it serves
+WELCOME_TIMEOUT_US = 3_000_000  # from the start until it listens without a welcome
+KEYS_TIMEOUT_US = 2_000_000  # from the request for the keys until it listens without them
+RECONNECT_INTERVAL_US = 200_000  # between attempts to reach an old process that is busy or lost
+SERVING_RECONNECT_INTERVAL_US = 1_000_000  # the same once it listens
 
 
 class Stage(Enum):
     """The progress of the new process."""
 
-    ALONE = "there is no elder"
-    SEEKING = "an elder is being reached"
-    WELCOMED = "the elder knows of it; its own kernel is not up"
-    ASKED = "the keys were asked for"
-    OWNER = "has the keys; the elder finishes"
+    ALONE = "there is no old process"
+    SEEKING = "connecting to an old process"
+    WELCOMED = "the old process knows of this one, whose kernel is not up yet"
+    ASKED = "the keys were requested"
+    OWNER = "has the keys; the old process finishes its requests"
 
 
 @dataclass(frozen=True)
 class NewProcess:
-    """``listening``: it takes requests; ``doubt_until``: until when what it does not know may have run elsewhere.
+    """The state of a process in the role of the new one.
 
-    An open doubt, which lasts while an elder may live, is ``FOREVER``.
+    Until ``doubt_until``, keyed requests that are unknown here may have run elsewhere; it is ``FOREVER`` while an old
+    process may be alive.
     """
 
     stage: Stage = Stage.ALONE
-    window_us: int = 0  # the longest in which a try may be repeated
+    window_us: int = 0  # the longest key window of all classes
     kernel_up: bool = False
-    owner: bool = False  # the keys came, whatever became of the stream
+    owner: bool = False  # the keys were received, even if the stream was lost later
     listening: bool = False
     doubt_until: int = 0
     give_up_at: int | None = None
     retry_at: int | None = None
-    passed: tuple[str, ...] | None = None  # sockets that came with the keys and wait for the kernel
+    passed: tuple[str, ...] | None = None  # fronts whose sockets came with the keys; adopted once the kernel is up
 
 
 FOREVER = 1 << 62
 
 
 class Started(NamedTuple):
-    """The process starts; ``elders`` is the number of sockets found that may belong to an old process."""
+    """The process starts; ``old_process_sockets`` is the number of sockets that may belong to an old process."""
 
-    elders: int
+    old_process_sockets: int
 
 
 class Connected(NamedTuple):
@@ -72,7 +73,7 @@
 
 
 class KernelUp(NamedTuple):
-    """The successor's own kernel is up."""
+    """The kernel of this process is up."""
 
 
 class Tick(NamedTuple):
@@ -97,19 +98,19 @@
 
 
 class TakeOver(NamedTuple):
-    """Listen at the sockets that were passed: the keys are here."""
+    """Listen on the sockets that were passed with the keys."""
 
     fronts: tuple[str, ...]
 
 
 class ListenOnOwnSocket(NamedTuple):
-    """Listen at a socket of one's own; ``why`` is empty where that is the usual way."""
+    """Open new listening sockets; ``why`` gives the reason if there should have been a handover."""
 
     why: str
 
 
 class OldProcessGone(NamedTuple):
-    """What the elder ran and sent no result of has none."""
+    """The old process ended; its runs whose results were not received have none."""
 
 
 Decision = Union[Connect, CloseConnection, SendMessage, TakeOver, ListenOnOwnSocket, OldProcessGone]
@@ -117,10 +118,10 @@
 
 
 def step(state: NewProcess, now: int, event: Event) -> tuple[NewProcess, list[Decision]]:
-    """Take an event and return what to do."""
+    """Handle an event and return the new state and what to do."""
     match event:
-        case Started(elders):
-            if not elders:
+        case Started(old_process_sockets):
+            if not old_process_sockets:
                 return replace(state, listening=True), [ListenOnOwnSocket("")]
             return replace(state, stage=Stage.SEEKING, give_up_at=now + WELCOME_TIMEOUT_US, doubt_until=FOREVER), [
                 Connect()
@@ -137,12 +138,12 @@
 
 
 def may_run(state: NewProcess, now: int) -> bool:
-    """Tell whether a keyed request of which nothing is known can not have run elsewhere."""
+    """Return whether a keyed request that is unknown here cannot have run elsewhere."""
     return now >= state.doubt_until
 
 
 def next_deadline(state: NewProcess) -> int | None:
-    """Return when time alone changes something."""
+    """Return when ``Tick`` is due next."""
     return min((at for at in (state.give_up_at, state.retry_at) if at is not None), default=None)
 
 
@@ -162,7 +163,7 @@
 
 
 def _take_over(so_far: tuple[NewProcess, list[Decision]]) -> tuple[NewProcess, list[Decision]]:
-    """Listen with what was passed, once the kernel is up: until then the elder goes on accepting."""
+    """Adopt the passed sockets once the kernel is up; until then the old process accepts connections."""
     state, decisions = so_far
     if state.passed is None or not state.kernel_up:
         return so_far
@@ -178,13 +179,13 @@
 
 def _handle_disconnect(state: NewProcess, now: int, refused: bool) -> tuple[NewProcess, list[Decision]]:
     if state.stage is Stage.OWNER:
-        # A stream can end without its process: until a refusal proves that it is gone, it is looked for, as it
-        # may not have read that there is a successor and would take its keys back one window from now.
+        # A stream can end without its process. Until a refused connection proves that the old process is gone, this
+        # one keeps connecting: the other may not know that it has handed over, and run keys again after a window.
         seeking = replace(state, stage=Stage.SEEKING, kernel_up=True, retry_at=now + RECONNECT_INTERVAL_US)
         return _take_over((seeking, [OldProcessGone()]))
     if state.stage is Stage.ALONE:
         return state, []
-    if not refused:  # it may live: it is asked again, and until it answers nothing is known of what it ran
+    if not refused:  # it may be alive, and until it answers its runs are unknown
         given = state.give_up_at if state.listening or state.give_up_at is not None else now + KEYS_TIMEOUT_US
         return replace(state, stage=Stage.SEEKING, retry_at=now + _reconnect_interval_us(state), give_up_at=given), []
     doubt = state.doubt_until if state.owner else now + state.window_us
--- a/sagetrestle/handover/old_process.py
+++ b/sagetrestle/handover/old_process.py
@@ -1,7 +1,7 @@
 """The old process of a hot restart: it hands its keys over to the new process.
 
-``step(state, now, event) -> (state, decisions)``; times are microseconds. The token leaves with ``TransferKeys``: from
-then on this process runs no key that it does not know unless its successor grants it.
+``step(state, now, event) -> (state, decisions)``; times are microseconds. ``TransferKeys`` gives up the ownership
+token: from then on this process runs an unknown key only if the new process grants it.
 """
 
 from __future__ import annotations
@@ -16,16 +16,19 @@
 class Stage(Enum):
     """The progress of the old process."""
 
-    ALONE = "there is no successor"
-    ANNOUNCED = "a successor is there"
-    YIELDED = "the keys are the successor's, which does not serve yet"
-    LEAVING = "the successor serves"
-    ORPHANED = "the successor that served is gone"
+    ALONE = "there is no new process"
+    ANNOUNCED = "a new process has connected"
+    YIELDED = "the new process owns the keys and does not serve yet"
+    LEAVING = "the new process serves"
+    ORPHANED = "the new process served and is gone"
 
 
 @dataclass(frozen=True)
 class OldProcess:
-    """``link`` is the successor's stream; ``noticed``: SIGTERM came while there was a successor."""
+    """The state of a process in the role of the old one.
+
+    ``link`` is the stream of the new process; ``noticed`` is set if SIGTERM came while there was one.
+    """
 
     name: str
     listen: str
@@ -33,7 +36,7 @@
     stage: Stage = Stage.ALONE
     link: int = 0
     noticed: bool = False
-    doubt_until: int = 0  # until when what is not known here may have run at a successor that is gone
+    doubt_until: int = 0  # until then unknown keys may have run at a new process that is gone
 
 
 class MessageReceived(NamedTuple):
@@ -64,7 +67,7 @@
 
 
 class CloseConnection(NamedTuple):
-    """End a stream once what was said is sent."""
+    """Close a connection after its pending messages are sent."""
 
     link: int
 
@@ -76,22 +79,22 @@
 
 
 class StopAccepting(NamedTuple):
-    """Take no more connections and leave those there are."""
+    """Accept no more connections, and ask the clients to leave those that are open."""
 
 
 class ScheduleExit(NamedTuple):
-    """The process is ended in a while: the notice to leave came, and is no notice to drain."""
+    """SIGTERM came while there is a new process: exit by the platform's deadline, without a drain."""
 
 
 class StartDrain(NamedTuple):
-    """The notice to leave came and there is no successor: drain as ever."""
+    """SIGTERM came while there is no new process: drain."""
 
 
 Decision = Union[SendMessage, CloseConnection, TransferKeys, StopAccepting, ScheduleExit, StartDrain]
 
 
 def step(state: OldProcess, now: int, event: Event) -> tuple[OldProcess, list[Decision]]:
-    """Take an event and return what to do."""
+    """Handle an event and return the new state and what to do."""
     match event:
         case MessageReceived(link, messages.Hello() as hello):
             return _handle_hello(state, link, hello)
@@ -107,17 +110,17 @@
 
 
 def needs_grant(state: OldProcess) -> bool:
-    """Tell whether a keyed run has to be granted by the successor."""
+    """Return whether the new process has to grant a keyed run."""
     return state.stage in (Stage.YIELDED, Stage.LEAVING)
 
 
 def may_run(state: OldProcess, now: int) -> bool:
-    """Tell whether a keyed request of which nothing is known can not have run elsewhere."""
+    """Return whether a keyed request that is unknown here cannot have run elsewhere."""
     return state.stage is not Stage.ORPHANED and now >= state.doubt_until
 
 
 def handed_over(state: OldProcess) -> bool:
-    """Tell whether another process serves in place of this one."""
+    """Return whether the new process serves in place of this one."""
     return state.stage in (Stage.LEAVING, Stage.ORPHANED)
 
 
@@ -137,7 +140,7 @@
 def _handle_disconnect(state: OldProcess, now: int) -> tuple[OldProcess, list[Decision]]:
     if state.stage is Stage.ANNOUNCED:
         alone = replace(state, stage=Stage.ALONE, link=0)
-    elif state.stage is Stage.YIELDED:  # it may have run keys after the token came, and can not be asked
+    elif state.stage is Stage.YIELDED:  # it may have run keys since, and cannot be asked
         alone = replace(state, stage=Stage.ALONE, link=0, doubt_until=now + state.window_us)
     else:
         return replace(state, stage=Stage.ORPHANED, link=0), []
@@ -145,11 +148,11 @@
 
 
 def _handle_sigterm(state: OldProcess) -> tuple[OldProcess, list[Decision]]:
-    """Take the notice to leave: with a successor about, it only says by when to be gone."""
+    """Handle SIGTERM: drain, or only exit in time if there is a new process."""
     if state.stage is Stage.ALONE:
         return state, [StartDrain()]
     if state.noticed:
         return state, []
-    if state.stage is Stage.ANNOUNCED:  # the successor was not ready in its time; it gets the keys unasked
+    if state.stage is Stage.ANNOUNCED:  # the new process was not ready in time; it gets the keys without a request
         return replace(state, stage=Stage.YIELDED, noticed=True), [ScheduleExit(), TransferKeys(state.link)]
     return replace(state, noticed=True), [ScheduleExit()]
--- a/sagetrestle/handover/result_exchange.py
+++ b/sagetrestle/handover/result_exchange.py
@@ -1,4 +1,4 @@
-"""Tries that run at the other process, who waits here for what becomes of them, and results on their way there."""
+"""The results of attempts that two processes of one scorer exchange, and the attempts that wait for them."""
 
 from __future__ import annotations
 
@@ -8,41 +8,44 @@
 
 from sagetrestle.handover.messages import Results
 
-MAX_BATCH_BYTES, MAX_BATCH_RESULTS = 48 * 1024, 256  # of results in one message
-MAX_UNACKED_BATCHES = 2  # messages of results that may be unacknowledged: what waits stays here and not in buffers
+MAX_BATCH_BYTES = 48 * 1024  # of results in one message, after which no further result is added
+MAX_BATCH_RESULTS = 256  # in one message
+MAX_UNACKED_BATCHES = 2  # limits the results held in the stream's buffers
 
-ResultLookup = tuple[bytes | None, int] | None  # a result, and until when it may be asked for; None: not over
+ResultLookup = tuple[bytes | None, int] | None  # the result and its expiry; None while the attempt runs
 
 
 @dataclass(slots=True)
 class ResultExchange:
-    """One process's side."""
+    """One process's side of the exchange."""
 
-    waiters: dict[str, list[str]] = field(default_factory=dict)  # a try there, and those here that wait for it
-    pending_grants: set[str] = field(default_factory=set)  # tries here for which a grant was asked
-    wanted_results: set[str] = field(default_factory=set)  # tries here whose result the other side waits for
-    outbox: deque[str] = field(default_factory=deque)  # tries that are over, whose result is to be sent
+    waiters: dict[str, list[str]] = field(
+        default_factory=dict
+    )  # attempts here, by the remote attempt that they wait for
+    pending_grants: set[str] = field(default_factory=set)  # attempts here whose claim was sent and not decided
+    wanted_results: set[str] = field(default_factory=set)  # running attempts here whose result the other process needs
+    outbox: deque[str] = field(default_factory=deque)  # ended attempts whose result is still to be sent
     unacknowledged: int = 0
 
     def wait(self, by: str, id: str) -> bool:
-        """Let a try here wait for one there; False if none such runs there."""
+        """Make attempt ``id`` wait for the remote attempt ``by``; return False if no such attempt is known."""
         if by not in self.waiters:
             return False
         self.waiters[by].append(id)
         return True
 
     def resolved(self, by: str) -> list[str]:
-        """Forget a try there that is over, and return who waited for it."""
+        """Forget a remote attempt that has ended, and return the attempts that waited for it."""
         return self.waiters.pop(by, [])
 
     def send(self, ids: Iterable[str]) -> None:
-        """Have the results of these tries sent, in this order."""
+        """Queue the results of these attempts for sending."""
         self.outbox.extend(ids)
 
     def next_batch(self, find: Callable[[str], ResultLookup]) -> Results | None:
         """Return the next message of results, unless too many are unacknowledged.
 
-        What is not over yet, or was dropped, is passed by: the first comes as it ends, and the second has none.
+        Attempts that still run, or whose result was dropped, are skipped: a running one is queued again when it ends.
         """
         if self.unacknowledged >= MAX_UNACKED_BATCHES:
             return None
@@ -60,9 +63,9 @@
         return Results(tuple(batch))
 
     def acknowledged(self) -> None:
-        """Note that a message of results was taken."""
+        """Count a message of results as acknowledged."""
         self.unacknowledged = max(0, self.unacknowledged - 1)
 
     def settled(self) -> bool:
-        """Tell whether nothing is left to be sent or acknowledged."""
+        """Return whether all results were sent and acknowledged."""
         return not self.outbox and not self.unacknowledged
--- a/sagetrestle/net/routing/handover.py
+++ b/sagetrestle/net/routing/handover.py
@@ -1,7 +1,7 @@
 """Connects the handover between processes to requests: applies claims, grants and results to request entries.
 
-The old process is the "elder" and the new process the "successor" of the two state machines, which decide who owns
-the keys and when to listen or leave. ``ResultExchange`` tracks the attempts of the other process. Loaded only where the
+The state machines of the old and the new process decide who owns the keys and when to listen or leave; a process may
+have both roles, one after the other. ``ResultExchange`` tracks the attempts of the other process. Loaded only where the
 server has a management address; the rest of the core reaches it as ``state.handover``.
 """
 
@@ -28,7 +28,7 @@
 
 
 class HandoverCoordinator:
-    """The handover of a process: as the successor of an old process and as the elder of a new one."""
+    """The handover of a process: from an old process, and later to a new one."""
 
     def __init__(self, plan: Plan, name: str, listen: str) -> None:
         window = (
@@ -36,8 +36,8 @@
         )
         self._name, self._listen = name, listen
         self._max_deadline_us = max(request_class.deadline_us for request_class in plan.settings.classes)
-        self.elder = old_process.OldProcess(name, listen, window)
-        self.successor = new_process.NewProcess(window_us=window)
+        self.old_role = old_process.OldProcess(name, listen, window)
+        self.new_role = new_process.NewProcess(window_us=window)
         self.claims = ResultExchange()
         self.old_process_descriptors = 0  # open file descriptors of the old process
         self._busy_reason = ""  # why the old process cannot hand over yet, as last reported
@@ -47,17 +47,17 @@
 
     def next_due(self) -> int | None:
         """Return when ``tick`` is due next."""
-        times = [time for time in (new_process.next_deadline(self.successor), self._exit_at) if time is not None]
+        times = [time for time in (new_process.next_deadline(self.new_role), self._exit_at) if time is not None]
         return min(times, default=None)
 
     def handed_over(self) -> bool:
         """Return whether a new process serves in place of this one."""
-        return old_process.handed_over(self.elder)
+        return old_process.handed_over(self.old_role)
 
     def has_pending_results(self, state: State) -> bool:
         """Return whether the new process still waits for results of this one."""
         running = any(entry.ran and state.keys.key_of(entry.request) for entry in state.entries.values())
-        return self.elder.stage is old_process.Stage.LEAVING and (running or not self.claims.settled())
+        return self.old_role.stage is old_process.Stage.LEAVING and (running or not self.claims.settled())
 
     def connection_limit(self, maximum: int) -> int:
         """Return the maximum number of connections of a front beside the old process's descriptors."""
@@ -65,7 +65,9 @@
 
     def may_run(self, request: Request) -> bool:
         """Return whether a keyed request that is unknown here cannot have run in another process."""
-        return old_process.may_run(self.elder, request.arrived) and new_process.may_run(self.successor, request.arrived)
+        return old_process.may_run(self.old_role, request.arrived) and new_process.may_run(
+            self.new_role, request.arrived
+        )
 
     def early_answer(self, turn: Turn, request: Request) -> Answer | None:
         """Fail a request that is unknown here and may have run in a process that can no longer be asked."""
@@ -80,7 +82,7 @@
             turn.log(f"request {request.id} not run: it may have run at another process")
             turn.answer_repeat(entry, None)
             return RunDecision.HANDLED
-        if old_process.needs_grant(self.elder):
+        if old_process.needs_grant(self.old_role):
             if request.id not in self.claims.pending_grants:
                 self.claims.pending_grants.add(request.id)
                 self._send_to_new_process(turn, messages.Claim(turn.state.keys.record(request)))
@@ -109,7 +111,7 @@
         if (
             entry.ran
             and entry.request.key
-            and (old_process.needs_grant(self.elder) or id in self.claims.wanted_results)
+            and (old_process.needs_grant(self.old_role) or id in self.claims.wanted_results)
         ):
             self.claims.wanted_results.discard(id)
             self.claims.send([id])
@@ -128,7 +130,7 @@
         """Handle an event of the stream to the old process."""
         if isinstance(event, new_process.MessageReceived):
             self._handle_message(turn, event.message, self._send_to_old_process)
-        self.successor, decisions = new_process.step(self.successor, turn.now, event)
+        self.new_role, decisions = new_process.step(self.new_role, turn.now, event)
         for decision in decisions:
             match decision:
                 case new_process.SendMessage(messages.Hello()):
@@ -150,12 +152,12 @@
 
     def step_old_process(self, turn: Turn, event: old_process.Event) -> bool:
         """Handle an event of a stream from a new process; return whether the stop signal starts a drain."""
-        if isinstance(event, old_process.MessageReceived) and event.link == self.elder.link:
+        if isinstance(event, old_process.MessageReceived) and event.link == self.old_role.link:
             self._handle_message(turn, event.message, self._send_to_new_process)
-        before = self.elder.stage
+        before = self.old_role.stage
         if (
             before is old_process.Stage.ALONE
-            and self.successor.stage is not new_process.Stage.ALONE
+            and self.new_role.stage is not new_process.Stage.ALONE
             and isinstance(event, old_process.MessageReceived)
             and isinstance(event.message, messages.Hello)
         ):
@@ -166,7 +168,7 @@
                 ExecuteHandoverDecision(old_process.CloseConnection(event.link)),
             ]
             return False
-        self.elder, decisions = old_process.step(self.elder, turn.now, event)
+        self.old_role, decisions = old_process.step(self.old_role, turn.now, event)
         drains = False
         for decision in decisions:
             match decision:
@@ -197,14 +199,14 @@
 
     def tick(self, turn: Turn) -> None:
         """Run due timers and send the next batch of results."""
-        due = new_process.next_deadline(self.successor)
+        due = new_process.next_deadline(self.new_role)
         if due is not None and turn.now >= due:
             self.step_new_process(turn, new_process.Tick())
         if self._exit_at is not None and turn.now >= self._exit_at:
             self._exit_at = None
             self._leave_connections(turn, turn.now)
-        to_new_process = old_process.needs_grant(self.elder)
-        if to_new_process or self.successor.stage is new_process.Stage.OWNER:
+        to_new_process = old_process.needs_grant(self.old_role)
+        if to_new_process or self.new_role.stage is new_process.Stage.OWNER:
             batch = self.claims.next_batch(lambda id: _result_of(turn, id))
             if batch is not None:
                 (self._send_to_new_process if to_new_process else self._send_to_old_process)(turn, batch)
@@ -217,7 +219,7 @@
         records = turn.state.keys.records(turn.now)
         for part in messages.split_records(records):
             turn.effects.append(ExecuteHandoverDecision(old_process.SendMessage(link, part)))
-        doubt_until = max(self.elder.doubt_until, self.successor.doubt_until)
+        doubt_until = max(self.old_role.doubt_until, self.new_role.doubt_until)
         fronts = tuple(name for name, maximum in turn.state.plan.bounds.connections.items() if maximum)
         turn.effects.append(ExecuteHandoverDecision(old_process.SendMessage(link, messages.Yours(fronts, doubt_until))))
         self.claims.send(record.id for record in records)
@@ -380,7 +382,7 @@
                 turn.answer_repeat(waiting, result)
 
     def _send_to_new_process(self, turn: Turn, message: messages.Message) -> None:
-        turn.effects.append(ExecuteHandoverDecision(old_process.SendMessage(self.elder.link, message)))
+        turn.effects.append(ExecuteHandoverDecision(old_process.SendMessage(self.old_role.link, message)))
 
     def _send_to_old_process(self, turn: Turn, message: messages.Message) -> None:
         turn.effects.append(ExecuteHandoverDecision(new_process.SendMessage(message)))
--- a/tests/handover/test_machines.py
+++ b/tests/handover/test_machines.py
@@ -80,7 +80,7 @@
         self.assertEqual([new_process.ListenOnOwnSocket("")], said)
         self.assertTrue(new_process.may_run(state, 0))
 
-    def test_a_busy_elder_is_asked_again_and_given_up_in_time(self):
+    def test_a_busy_old_process_is_asked_again_and_given_up_in_time(self):
         busy = new_process.MessageReceived(messages.Busy("x"))
         state, said = self.play(
             new_process.Started(1),
@@ -117,7 +117,7 @@
         self.assertTrue(state.listening)
         self.assertIsInstance(said[-1], new_process.ListenOnOwnSocket)
 
-    def test_keys_that_come_before_the_kernel_wait_for_it_unless_the_elder_dies(self):
+    def test_keys_that_come_before_the_kernel_wait_for_it_unless_the_old_process_dies(self):
         begun = (
             new_process.Started(1),
             new_process.Connected(),
@@ -131,7 +131,7 @@
         _, later = self.play(new_process.Disconnected(False), state=state)
         self.assertIn(new_process.TakeOver(("thrift",)), later)
 
-    def test_a_doubt_of_the_elder_comes_with_the_keys(self):
+    def test_a_doubt_of_the_old_process_comes_with_the_keys(self):
         state, _ = self.play(
             new_process.Started(1),
             new_process.Connected(),
@@ -141,7 +141,7 @@
         )
         self.assertEqual((False, True), (new_process.may_run(state, 49), new_process.may_run(state, 50)))
 
-    def test_an_owner_looks_for_its_elder_until_it_is_refused(self):
+    def test_an_owner_looks_for_the_old_process_until_it_is_refused(self):
         state, said = self.play(
             new_process.Started(1),
             new_process.Connected(),
@@ -157,7 +157,7 @@
 
 
 class ElderTest(unittest.TestCase):
-    """What an elder lets itself be asked."""
+    """Requests that the old process accepts."""
 
     def step(self, state, event, now=0):
         return old_process.step(state, now, event)
@@ -172,7 +172,7 @@
             got, said = self.step(state, old_process.MessageReceived(1, hello))
             self.assertEqual((old_process.Stage.ALONE, old_process.CloseConnection(1)), (got.stage, said[-1]))
 
-    def test_the_second_of_two_successors_is_told_to_come_again(self):
+    def test_the_second_of_two_new_processes_is_told_to_come_again(self):
         hello = messages.Hello(1, "n1", "here")
         state, _ = self.step(old_process.OldProcess("n1", "here"), old_process.MessageReceived(1, hello))
         state, said = self.step(state, old_process.MessageReceived(2, hello))
--- a/tests/models/test_handover_model.py
+++ b/tests/models/test_handover_model.py
@@ -25,7 +25,7 @@
 class Process:
     """One core with a kernel that does as it is told, at once."""
 
-    def __init__(self, model: "HandoverModel", elders: int, kernel_up: bool) -> None:
+    def __init__(self, model: "HandoverModel", old_process_sockets: int, kernel_up: bool) -> None:
         self.model, self.alive, self.kernel_up = model, True, kernel_up
         base = plan()
         self.state = new_state(type(base)(base.settings, base.stop_us, base.bounds, base.gauges, 7, True))
@@ -34,7 +34,7 @@
         self.serial = self.link = 0
         self.inbox: deque = deque()  # what is on its way here over the stream
         self.born = model.now
-        self.feed(inputs.Started(BackendAddresses(HERE, HERE, HERE), elders))
+        self.feed(inputs.Started(BackendAddresses(HERE, HERE, HERE), old_process_sockets))
         self.feed(inputs.ConnectionOpened(FRONT))
 
     def feed(self, *items) -> None:
@@ -90,9 +90,9 @@
             self.alive
             and state.listening
             and not state.exited
-            and not old_process.needs_grant(pair.elder)
-            and old_process.may_run(pair.elder, now)
-            and new_process.may_run(pair.successor, now)
+            and not old_process.needs_grant(pair.old_role)
+            and old_process.may_run(pair.old_role, now)
+            and new_process.may_run(pair.new_role, now)
         )
 
 
@@ -234,7 +234,7 @@
             assert process in self.killed or (process, request_ref) in self.answered, f"{request_ref} has no answer"
         new = self.new
         if new is not None and new.alive and new.kernel_up:
-            assert new.state.listening and new_process.may_run(new.state.handover.successor, self.now)
+            assert new.state.listening and new_process.may_run(new.state.handover.new_role, self.now)
 
 
 HandoverModel.TestCase.settings = settings(max_examples=60, stateful_step_count=30, deadline=None, derandomize=True)
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -495,16 +495,16 @@
     ``held`` collects what is on its way instead of delivering it, and may be lost with the stream.
     """
 
-    def __init__(self, world: World, elder: World | None) -> None:
-        self.world, self.to_elder = world, elder and elder.streams
-        self.heir: Streams | None = None
+    def __init__(self, world: World, old: World | None) -> None:
+        self.world, self.to_old = world, old and old.streams
+        self.to_new: Streams | None = None
         self.held: list[Any] | None = None
         self.dead = False
-        if self.to_elder:
-            self.to_elder.heir = self
+        if self.to_old:
+            self.to_old.to_new = self
         port = SimpleNamespace(getHost=lambda: SimpleNamespace(port=0), stopListening=lambda: None, doRead=lambda: None)
         self.listen = lambda *_: port
-        self.found = lambda: int(elder is not None)
+        self.found = lambda: int(old is not None)
         self.adopt = self.open = self.close = lambda *_: None
 
     def perform(self, what: Any) -> None:
@@ -512,14 +512,14 @@
         if self.dead:
             return
         match what:
-            case new_process.Connect() if self.to_elder.dead:
+            case new_process.Connect() if self.to_old.dead:
                 self._post(self, OldProcessEvent(new_process.Disconnected(True)))
             case new_process.Connect():
                 self._post(self, OldProcessEvent(new_process.Connected()))
-            case new_process.SendMessage(message) if self.to_elder and not self.to_elder.dead:
-                self._post(self.to_elder, NewProcessEvent(old_process.MessageReceived(1, decode(encode(message)[:-1]))))
-            case old_process.SendMessage(_, message) if self.heir and not self.heir.dead:
-                self._post(self.heir, OldProcessEvent(new_process.MessageReceived(decode(encode(message)[:-1]))))
+            case new_process.SendMessage(message) if self.to_old and not self.to_old.dead:
+                self._post(self.to_old, NewProcessEvent(old_process.MessageReceived(1, decode(encode(message)[:-1]))))
+            case old_process.SendMessage(_, message) if self.to_new and not self.to_new.dead:
+                self._post(self.to_new, OldProcessEvent(new_process.MessageReceived(decode(encode(message)[:-1]))))
             case old_process.CloseConnection():
                 self.break_link()
 
@@ -528,10 +528,10 @@
         held.append(item) if held is not None else to.world.scorer.loop.post(item)
 
     def break_link(self) -> None:
-        """End the stream between this process and its successor; what is held is lost."""
-        self.held = self.heir.held = None
+        """End the stream between this process and the new one; what is held is lost."""
+        self.held = self.to_new.held = None
         self.world.scorer.loop.post(NewProcessEvent(old_process.Disconnected(1)))
-        self.heir.world.scorer.loop.post(OldProcessEvent(new_process.Disconnected(False)))
+        self.to_new.world.scorer.loop.post(OldProcessEvent(new_process.Disconnected(False)))
 
     def release(self) -> None:
         """Deliver what was held."""
@@ -549,14 +549,14 @@
         stop_ms: int = 3_200,
         identity: Any = None,
         managed: bool = False,
-        elder: World | None = None,
+        old: World | None = None,
         params: dict[str, Any] = PARAMS,
         fresh: bool = False,
     ) -> None:
         self.booted = {"how": "fresh", "duration": 0} if fresh else {"how": "seasoned", "duration": 3_600_000}
         self.test = test
-        self.reactor = elder.reactor if elder else self.new_reactor()
-        self.group = [elder, self] if elder else [self]  # worlds that share their time
+        self.reactor = old.reactor if old else self.new_reactor()
+        self.group = [old, self] if old else [self]  # worlds that share their time
         self.tokens: dict[str, str] = {}
         self.snapshots: dict[str, Any] = {}
         self.lines: list[str] = []
@@ -582,9 +582,9 @@
         announce = SimpleNamespace(publish=self.announced.append)
         self.scorer.dns = SimpleNamespace(authority=announce)
         if managed:
-            self.scorer.handover = self.streams = Streams(self, elder)
+            self.scorer.handover = self.streams = Streams(self, old)
         links = len(self.reactor.tcpClients)
-        self.scorer.loop.post(Started(given.peers, 1 if elder else 0))
+        self.scorer.loop.post(Started(given.peers, 1 if old else 0))
         self.settle()
         self.opened()
         self.actors: dict[str, Any] = {"platform": Platform(self), "ledger": LedgerPeer(self)}
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -391,7 +391,7 @@
         self.pair("wait 50")
         self.old.scorer.loop.post(_said_ask())
         self.pair("wait 10")
-        self.assertIs(old_process.Stage.YIELDED, self.old.scorer.loop.state.handover.elder.stage)
+        self.assertIs(old_process.Stage.YIELDED, self.old.scorer.loop.state.handover.old_role.stage)
         self.old.streams.break_link()
         self.old.streams.dead = False
         self.new.streams.held = []  # disconnected permanently
@@ -401,14 +401,14 @@
             old thrift expect a failed
             old thrift send b quick-check
             old kernel expect SCHED b""")
-        self.assertGreater(self.state().handover.successor.doubt_until, self.new.scorer.loop.now)
+        self.assertGreater(self.state().handover.new_role.doubt_until, self.new.scorer.loop.now)
 
     def upgrade_held(self):
         """Start the new process with all messages to it delayed."""
         made = scenario.Streams.__init__
 
-        def held(streams, world, elder):
-            made(streams, world, elder)
+        def held(streams, world, old):
+            made(streams, world, old)
             streams.held = []
 
         scenario.Streams.__init__ = held
