End an attempt that was answered while its run waited for another process's grant

Seen by reading, then in a test: a charge whose run waits for a grant (an upgrade's claim, or a fleet's backups) and whose caller's time passes was answered and put back in the queue, where nothing took it up again. Its entry stayed in the table of requests for good, and that table's length bounds what is taken.

Cause: the module answers and then stops such a run; actions._stop puts a run that has not started back to the queue without looking whether it was answered. The class's limit led there too; times that callers bring make it more likely.

Change: an answered one ends there. The test failed before with the entry left in the table.

--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -61,9 +61,11 @@
     if entry.phase is Phase.RUNNING:
         entry.pause_requested = True
         turn.send_command(entry, RunCommand(CommandKind.PAUSE, action.id))
-    elif entry.phase is Phase.AWAITING_GRANT:  # not started yet, so it only goes back to the queue
+    elif entry.phase is Phase.AWAITING_GRANT:  # not started yet: it goes back to the queue, or ends if it was answered
         entry.phase = Phase.QUEUED
         turn.events.append(RunEnded(action.id, Outcome.CANCELLED))
+        if not entry.unanswered:
+            turn.finish(entry)
 
 
 def _refuse(turn: Turn, entry: RequestEntry, action: interface.RefuseRequest) -> None:
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -459,6 +459,25 @@
             old thrift expect a failed
             old kernel expect nothing""")
 
+    # Guards against answered requests that stay in the table for good, until there is room for no more.
+    def test_an_attempt_whose_caller_stops_waiting_for_its_claim_leaves_nothing_behind(self):
+        self.pair("""
+            old thrift send f1 report-view
+            old thrift2 send f2 report-view
+            old thrift send a paid-check key=K timeout=600""")
+        self.upgrade()
+        self.old.streams.held = []
+        self.pair("""
+            wait 20
+            old kernel send done f1 x
+            wait 620
+            old thrift expect a failed""")
+        self.assertEqual([call_id("f2")], list(self.old.scorer.loop.state.entries))
+        self.old.streams.release()
+        self.pair("wait 100")
+        self.assertEqual([call_id("f2")], list(self.old.scorer.loop.state.entries))
+        self.assertEqual({call_id("f1"), call_id("f2")}, {command["call"] for command in self.old.kernel.commands})
+
 
 def _said_hello():
     return NewProcessEvent(old_process.MessageReceived(1, messages.Hello(messages.VERSION, "n1", "127.0.0.1:0")))
