--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -716,10 +716,10 @@
         try:
             return await asyncio.wait_for(case(record, home), 116)
         finally:
-            rest = asyncio.all_tasks() - {asyncio.current_task()}
-            for task in rest:
-                task.cancel()
-            await asyncio.gather(*rest, return_exceptions=True)
+            while rest := asyncio.all_tasks() - {asyncio.current_task()}:
+                for task in rest:
+                    task.cancel()
+                await asyncio.gather(*rest, return_exceptions=True)
 
     try:
         broken = asyncio.run(play())
