--- a/review/10/case.py
+++ b/review/10/case.py
@@ -50,6 +50,7 @@
 
     async def ask(number: int) -> tuple[int, str, bytes]:
         headers = {"HTTP_IDEMPOTENCY_KEY": f"order-{number}", "HTTP_X_CALLER": f"portal-{number % 6}"}
+        record.line(f"portal: order-{number} is sent")
         data = await ask_scgi(port, "paid-check", f"applicant=mona-{number}\n".encode(), headers)
         record.line(f"portal: order-{number}: {scgi_status(data)} {scgi_body(data)!r}")
         return scgi_status(data), f"mona-{number}", scgi_body(data)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,6 +10,7 @@
     MAPPING,
     ROOT,
     TROUBLE,
+    CannotRun,
     NewServer,
     Program,
     ask_scgi,
@@ -45,6 +46,7 @@
 
     async def ask(caller: str, key: str, applicant: str) -> tuple[int, bytes]:
         headers = {"HTTP_IDEMPOTENCY_KEY": key, "HTTP_X_CALLER": caller}
+        record.line(f"{caller}: paid-check {key} of {applicant} is sent")
         data = await ask_scgi(port, "paid-check", f"applicant={applicant}\n".encode(), headers)
         record.line(f"{caller}: paid-check {key} of {applicant}: {scgi_status(data)} {scgi_body(data)!r}")
         return scgi_status(data), scgi_body(data)
@@ -53,7 +55,7 @@
     try:
         first = {key: await ask("portal-a", key, f"mona-{key}") for key in KEYS}
         if any(status != 200 for status, _ in first.values()):
-            return ["a first charge was not served"]
+            raise CannotRun("a first charge was not served")
         if TROUBLE:
             await translator.end(signal.SIGKILL)
             record.line("translator: killed")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -19,6 +19,7 @@
     MAPPING,
     ROOT,
     TROUBLE,
+    CannotRun,
     NewServer,
     Program,
     Record,
@@ -87,15 +88,13 @@
         """Ask over SCGI; return the status, 0 where the connection failed."""
         headers = {"HTTP_X_CALLER": f"portal-{hash(applicant) % 6}"} | ({"HTTP_IDEMPOTENCY_KEY": key} if key else {})
         headers |= {"HTTP_X_RETRY": "1"} if retry else {}
-        if key:
-            self.record.line(f"{self.name}: {cls} {key}{' again' if retry else ''} is sent")
+        what = f"{cls} {key or applicant}{' again' if retry else ''}"
+        self.record.line(f"{self.name}: {what} is sent")
         try:
             data = await ask_scgi(self.port, cls, f"applicant={applicant}\n".encode(), headers)
         except (ConnectionError, TimeoutError):
             data = b""  # the translator was killed, or is not there
-        if key:
-            text = f"{scgi_status(data)} {scgi_body(data)!r}"
-            self.record.line(f"{self.name}: {cls} {key}{' again' if retry else ''}: {text}")
+        self.record.line(f"{self.name}: {what}: {scgi_status(data)} {scgi_body(data)!r}")
         return scgi_status(data)
 
     def twice(self) -> list[str]:
@@ -112,7 +111,7 @@
         began, usual = time.monotonic(), []
         first = await asyncio.gather(*(place.ask("paid-check", f"mona-{key}", key) for key in KEYS))
         if set(first) != {200}:
-            return [f"a first charge was not served: {first}"]
+            raise CannotRun(f"a first charge was not served: {first}")
         if TROUBLE:
             await place.kill()
         number = 0
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
@@ -730,8 +731,8 @@
         if not broken:
             record.line("HELD")
             print("HELD")
-    except (CannotRun, OSError, TimeoutError) as error:
-        record.line(f"CANNOT RUN: {error!r}")
+    except Exception as error:  # whatever it was, it says nothing of the rule
+        record.line(f"CANNOT RUN: {error!r}\n{traceback.format_exc()}")
         print(f"CANNOT RUN: {error!r}")
     finally:
         record.close()
