Write no start of a charge and no reply to the kernel again that may have arrived

Cause: kernel_events._resend wrote every unconfirmed command of the last 2 s again after the missed notices. What arrived the first time may have ended its run, or taken it to its next call, between the last notice and the second copy; then the copy starts another run, or answers the next call. A shorter window only makes it rarer.

Change: a command that may have arrived is repeated only if it does no harm twice (the start of a safe request, a pause, a resume without a pause behind it). Others wait for their run's notices; lost, the request fails at its deadline, and 1 s after its answer its start is sent again, which the kernel answers with "stale", so no run is counted for good.

The price is what is lost with the link.

--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -50,6 +50,11 @@
     turn.state.keys.mark_started(entry.request)
     access_control.charge_started(turn, entry)
     turn.state.metrics.attempts += 1
+    send_start(turn, entry)
+
+
+def send_start(turn: Turn, entry: RequestEntry) -> None:
+    """Send the command that starts the run of a request."""
     class_name = turn.state.plan.settings.classes[entry.request.class_index].name
     turn.send_command(
         entry, RunCommand(CommandKind.START, entry.request.id, class_name, entry.request.body, entry.token, entry.place)
--- a/sagetrestle/net/routing/kernel_events.py
+++ b/sagetrestle/net/routing/kernel_events.py
@@ -4,10 +4,10 @@
 
 from dataclasses import replace
 
-from sagetrestle.interface import CallRequested, Gauges, RequestWithdrawn, RunEnded
+from sagetrestle.interface import CallRequested, Effect, Gauges, RequestWithdrawn, RunEnded
 from sagetrestle.logic import Policy
 from sagetrestle.net.routing import access_control, inputs
-from sagetrestle.net.routing.actions import apply_action
+from sagetrestle.net.routing.actions import apply_action, send_start
 from sagetrestle.net.routing.effects import (
     AbandonCall,
     ConnectKernel,
@@ -16,7 +16,7 @@
     RequestGauges,
 )
 from sagetrestle.net.routing.outcomes import run_outcome
-from sagetrestle.net.routing.state import LinkPhase, Phase, RequestEntry
+from sagetrestle.net.routing.state import LinkPhase, PendingCommand, Phase, RequestEntry
 from sagetrestle.net.routing.turn import Turn
 from sagetrestle.net.routing.values import (
     Answer,
@@ -31,6 +31,8 @@
 
 MIN_BACKOFF_US = 20_000  # before the first attempt to reconnect to the kernel
 MAX_BACKOFF_US = 500_000  # to which the backoff doubles
+ANSWER_DELIVERY_US = 1_000_000  # from an answer until the kernel knows of it
+SETTLE_INTERVAL_US = 500_000
 RESEND_WINDOW_US = 2_000_000  # before the end of a link; the kernel has read what was sent earlier
 
 
@@ -118,16 +120,19 @@
 
 
 def _resend(turn: Turn) -> None:
-    """Send again the commands that may have been lost with the last link.
+    """Send again the commands that may have been lost with the last link and that may be carried out twice.
 
-    All missed notices have been read by now, so a run that ended meanwhile is not started again. A command that did
-    arrive has no effect the second time.
+    The notices read by now do not tell what a command that did arrive has done since: its run may have ended, or may
+    wait for another call. A command that must not be carried out twice is therefore never repeated; the notices of its
+    run confirm it, or its request fails at its deadline.
     """
     kernel = turn.state.kernel
     for entry in turn.state.entries.values():
         entry.resent_commands.clear()
         for pending in entry.unconfirmed_commands:
-            if pending.sent_at is not None and pending.sent_at < kernel.lost_at - RESEND_WINDOW_US:
+            if pending.sent_at is not None and (
+                pending.sent_at < kernel.lost_at - RESEND_WINDOW_US or not _is_repeatable(turn, entry, pending)
+            ):
                 continue
             if pending.sent_at is not None:
                 entry.resent_commands.append(pending.command.kind)
@@ -135,6 +140,57 @@
             turn.effects.append(pending.command)
 
 
+def _is_repeatable(turn: Turn, entry: RequestEntry, pending: PendingCommand) -> bool:
+    """Return whether a command that may have arrived does no harm if it is carried out a second time."""
+    match pending.command.kind:
+        case CommandKind.START:
+            request_class = turn.state.plan.settings.classes[entry.request.class_index]
+            is_safe = request_class.effect is Effect.SAFE and not _pause_may_have_arrived(entry)
+            return is_safe or _is_over_at_kernel(turn, entry)
+        case CommandKind.RESUME:
+            return not _pause_may_have_arrived(entry)
+        case CommandKind.PAUSE:
+            return True
+        case CommandKind.REPLY:  # the run may wait for the reply to its next call by now
+            return False
+
+
+def _pause_may_have_arrived(entry: RequestEntry) -> bool:
+    """Return whether a pause was sent, which a start or resume behind it would undo."""
+    return any(
+        pending.command.kind is CommandKind.PAUSE and pending.sent_at is not None
+        for pending in entry.unconfirmed_commands
+    )
+
+
+def _is_over_at_kernel(turn: Turn, entry: RequestEntry) -> bool:
+    """Return whether the kernel knows that the request was answered or given up, so that it starts no run of it."""
+    return not entry.unanswered and turn.now - entry.answered_at >= ANSWER_DELIVERY_US
+
+
+def settle_lost_runs(turn: Turn) -> None:
+    """Ask for the end of runs in doubt whose requests are over, as otherwise they would count as running forever.
+
+    For a request that is over, a start command starts nothing: the kernel reports ``stale`` unless the run goes on.
+    """
+    kernel = turn.state.kernel
+    turn.state.task_due_times["settle"] = turn.now + SETTLE_INTERVAL_US
+    if kernel.link is not LinkPhase.UP:
+        return
+    for entry in turn.state.entries.values():
+        if entry.phase is Phase.RUNNING and _is_in_doubt(entry, kernel.lost_at) and _is_over_at_kernel(turn, entry):
+            send_start(turn, entry)
+
+
+def _is_in_doubt(entry: RequestEntry, lost_at: int) -> bool:
+    """Return whether a command of a request may have been lost with the last link, and no start was sent since."""
+    pending = entry.unconfirmed_commands
+    start_sent_since = any(
+        one.command.kind is CommandKind.START and (one.sent_at is None or one.sent_at > lost_at) for one in pending
+    )
+    return not start_sent_since and any(one.sent_at is not None and one.sent_at <= lost_at for one in pending)
+
+
 def _accept_notice(turn: Turn, serial: int, id: str) -> tuple[bool, RequestEntry | None]:
     """Return whether a notice is new, and its request; the notice confirms all commands of the request."""
     if serial <= turn.state.kernel.last_serial:
--- a/sagetrestle/net/routing/periodic_tasks.py
+++ b/sagetrestle/net/routing/periodic_tasks.py
@@ -51,7 +51,7 @@
         turn.effects.append(Listen())
     turn.effects += [SetLedgerAddress(item.peers.ledger), SetRosterAddress(item.peers.roster)]
     kernel_events.connect(turn)
-    turn.state.task_due_times.update(report=turn.now, gauges=turn.now, overdue=turn.now, idle=turn.now)
+    turn.state.task_due_times.update(report=turn.now, gauges=turn.now, overdue=turn.now, idle=turn.now, settle=turn.now)
     if turn.state.authenticator is not None:
         turn.state.task_due_times["keys"] = turn.now
 
@@ -216,6 +216,7 @@
     "gauges": _ask_gauges,
     "overdue": _answer_overdue,
     "idle": _close_idle,
+    "settle": kernel_events.settle_lost_runs,
     "drain": _drain,
     "load": _load,
     "verify": ingress.verify_pending,
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -49,6 +49,7 @@
     repeat_of: str | None = None
     phase: Phase = Phase.QUEUED
     unanswered: bool = True
+    answered_at: int = 0  # when it was answered or its caller left
     ran: bool = False
     granted: bool = False  # another process allowed the run
     recorded: bool = False  # its intent is stored at the backups (fleet only)
--- a/sagetrestle/net/routing/turn.py
+++ b/sagetrestle/net/routing/turn.py
@@ -40,6 +40,7 @@
     def mark_answered(self, entry: RequestEntry) -> None:
         """Mark a request as answered and free its number on the connection."""
         entry.unanswered = False
+        entry.answered_at = self.now
         request_ref = entry.request.request_ref
         self.state.ids_by_ref.pop(request_ref, None)
         connection = self.state.connections.get(request_ref.connection)
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -370,10 +370,14 @@
 
     def close(self, *_: str) -> None:
         """Break the link and take the next one, as soon as it is tried."""
-        self.wire.end(error.ConnectionLost)
+        self.drop()
         self.world.wait(30)
         self.next()
 
+    def drop(self, *_: str) -> None:
+        """Break the link."""
+        self.wire.end(error.ConnectionLost)
+
     def next(self) -> None:
         """Take the link that was tried last."""
         self.wire = self.world.accept()
