Take a server's "never came here" for no proof that a charge never runs

Cause: the connection is given up, the server is asked on a new one and says 404, as nothing came so far.

Change: the charge stays in doubt, may be sent again to the same start of the same server (which runs one attempt of a key), and is never freed, refused or moved by such an answer. After a crash the caller's own first attempt needs no retry budget. The translator's questions after a crash take turns over all keys in doubt.

Tests: three in tests/attempts and one over loopback in tests/net/test_translate.py failed before; the model of random events has attempts that arrive after their connection ended.

--- a/sagetrestle/attempts/request.py
+++ b/sagetrestle/attempts/request.py
@@ -3,8 +3,9 @@
     NEW -> IN_FLIGHT -> (WAITING -> IN_FLIGHT)* -> DONE   safe, or proven never to have run
            IN_FLIGHT -> QUERYING* -> ...                  a charge in doubt: the same server is queried
 
-A charge is not sent again while it may have run. Instead its server is queried by the idempotency key: *done* carries
-the answer, after *running* the query is repeated, and *unknown* proves that the charge never ran and may be sent again.
+A charge that may have run goes to no other server. Its server is queried by the idempotency key: *done* carries the
+answer, after *running* the query is repeated, and after *unknown* the charge may be sent to the same server again. None
+of these proves that it never runs: what was sent on a connection that ended may still arrive.
 """
 
 from __future__ import annotations
@@ -267,11 +268,12 @@
             case Fate.FAILED:
                 return self._finish(Result(AttemptOutcome.FAILED, event.answer, settled=True))
             case Fate.UNKNOWN:
-                # The server has no record of the key: that proves that the charge never ran.
-                self._may_have_run = False
-                self._last_result = self._last_result._replace(ran=False)
+                # An earlier attempt may still be on its way, so the charge stays in doubt; the same server runs one
+                # of its attempts and answers the others with that run's result.
                 if self.job.query_only:
                     return self._finish_unanswered()
+                if not self.attempts:  # the caller's own attempt, not a retry of it
+                    return self._start_attempt(now_us, allowance)
                 return self._retry_later(now_us, 0, allowance)
         self._backoff_us = backoff_us(self._backoff_us, 0, self._rng)
         self.state, self.due = RequestState.QUERYING, now_us + self._backoff_us
--- a/sagetrestle/net/program/upstream.py
+++ b/sagetrestle/net/program/upstream.py
@@ -181,6 +181,7 @@
         self._journal_failing = False
         self._next_in_doubt_check_us = 0
         self._in_doubt_jobs: dict[str, list[Job]] = {}  # jobs waiting for a query on their key, by key
+        self._last_query_us: dict[str, int] = {}  # by key in doubt, so that each has its turn
         self._logged_losses: set[tuple[str, str, str]] = set()
         self._describe: DescribeRequest = lambda id: (None, "", 0, False, 0.0)
         self._timer: Any = None
@@ -632,9 +633,13 @@
         """Query effects left in doubt by a crash that have no active run or query, and compact the journal if due."""
         now = self._unix_us()
         active_keys = {run.key for run in self._runs.values()}
-        for effect in [effect for effect in self.effects.in_doubt(now) if effect.server][:MAX_GROUP_SIZE]:
+        doubts = [effect for effect in self.effects.in_doubt(now) if effect.server]
+        self._last_query_us = {effect.key: self._last_query_us.get(effect.key, 0) for effect in doubts}
+        doubts.sort(key=lambda effect: self._last_query_us[effect.key])
+        for effect in doubts[:MAX_GROUP_SIZE]:
             if effect.key in active_keys or effect.key in self._in_doubt_jobs:
                 continue
+            self._last_query_us[effect.key] = now
             self._in_doubt_jobs[effect.key] = []
             job = Job(
                 f"doubt-{effect.key}",
--- a/tests/attempts/test_attempts.py
+++ b/tests/attempts/test_attempts.py
@@ -159,6 +159,39 @@
         (second,) = harness.wait()
         self.assertEqual((Send, first.member), (type(second), second.member))
 
+    # Guards against the answer "never ran" for a charge whose request is still on its way to the server.
+    def test_a_charge_unknown_to_its_server_stays_in_doubt_where_no_retry_is_left(self):
+        for end in MAY_HAVE_RUN_OUTCOMES:
+            harness = Harness()
+            harness.attempt_controller._route_budgets = RetryBudgets(0.0, 0.0)
+            (first,) = harness.begin("K")
+            (ask,) = harness.end(first, end)
+            (done,) = harness.attempt_controller.fate_reported(harness.now, "j", ask.number, Fate.UNKNOWN)
+            self.assertTrue(done.result.ran, end)
+
+    def test_a_refused_retry_proves_nothing_of_the_attempt_before_it(self):
+        harness = Harness()
+        (first,) = harness.begin("K")
+        decisions = harness.end(first, AttemptOutcome.RESET)
+        while not isinstance(decisions[-1], JobFinished):
+            (decision,) = decisions
+            self.assertEqual(first.member, decision.member)
+            if isinstance(decision, QueryMember):
+                decisions = harness.attempt_controller.fate_reported(harness.now, "j", decision.number, Fate.UNKNOWN)
+            else:
+                decisions = harness.end(decision, AttemptOutcome.REFUSED)
+            decisions = decisions or harness.wait()
+        self.assertTrue(decisions[-1].result.ran)
+
+    def test_a_charge_in_doubt_since_a_crash_is_sent_to_its_server_without_a_retry_budget(self):
+        harness = Harness()
+        harness.attempt_controller._route_budgets = RetryBudgets(0.0, 0.0)
+        member = harness.members["n2"].instance
+        harness.router.bind("K", member.name, member.boot, harness.now)
+        (ask,) = harness.begin("K", in_doubt=(member.name, member.boot))
+        (send,) = harness.attempt_controller.fate_reported(harness.now, "j", ask.number, Fate.UNKNOWN)
+        self.assertEqual((Send, member), (type(send), send.member.instance))
+
     def test_a_charge_whose_member_is_gone_ends_in_doubt_and_is_not_sent(self):
         for anew in (False, True):
             harness = Harness()
@@ -296,7 +329,7 @@
 class ModelTest(unittest.TestCase):
     """For any order of events a charge runs at one boot of one server at most, and every job ends in time."""
 
-    EVENTS = ["served", "lost", "never", "asked", "time", "gone", "anew"]
+    EVENTS = ["served", "lost", "held", "arrives", "never", "asked", "time", "gone", "anew"]
 
     @given(
         strategies.lists(strategies.tuples(strategies.sampled_from(EVENTS), strategies.integers(0, 4)), max_size=60),
@@ -304,7 +337,8 @@
     )
     def test_no_charge_runs_at_two_servers_and_every_job_ends(self, events, charges):
         harness = Harness(3)
-        open_sends, open_queries, ran, ends = [], [], {}, {}
+        open_sends, open_queries, on_the_way, ran, ends = [], [], [], {}, {}
+        never_ran = set()  # keys whose callers were told so
 
         def collect(decisions):
             for decision in decisions:
@@ -318,6 +352,15 @@
                 elif isinstance(decision, JobFinished):
                     self.assertNotIn(decision.job.id, ends)
                     ends[decision.job.id] = harness.now
+                    if not decision.result.ran:
+                        never_ran.add(decision.job.key)
+                        self.assertNotIn(decision.job.key, ran)
+
+        def run(send):
+            if send.job.key is not None:
+                process = (send.member.instance.name, send.member.instance.boot)
+                self.assertEqual(process, ran.setdefault(send.job.key, process))
+                self.assertNotIn(send.job.key, never_ran)
 
         for number, charge in enumerate(charges):
             collect(harness.begin(f"K{number}" if charge else None, due=3 * S, id=f"j{number}"))
@@ -339,14 +382,18 @@
                 process = (decision.member.instance.name, decision.member.instance.boot)
                 fate = Fate.DONE if ran.get(decision.job.key) == process else Fate.UNKNOWN
                 collect(harness.attempt_controller.fate_reported(harness.now, decision.job.id, decision.number, fate))
-            elif open_sends and event in ("served", "lost", "never"):
+            elif event == "arrives" and on_the_way:
+                run(on_the_way.pop(index % len(on_the_way)))
+            elif open_sends and event in ("served", "lost", "held", "never"):
                 decision = open_sends.pop(index % len(open_sends))
-                process = (decision.member.instance.name, decision.member.instance.boot)
-                if event != "never" and decision.job.key is not None:
-                    ran[decision.job.key] = process
+                if event == "held":  # the connection is given up, what was sent on it comes later
+                    on_the_way.append(decision)
+                elif event != "never":
+                    run(decision)
                 end = {
                     "served": AttemptOutcome.ANSWERED,
                     "lost": AttemptOutcome.RESET,
+                    "held": AttemptOutcome.RESET,
                     "never": AttemptOutcome.REFUSED,
                 }[event]
                 collect(harness.end(decision, end))
--- a/tests/net/test_translate.py
+++ b/tests/net/test_translate.py
@@ -1,6 +1,7 @@
 """The translator process between old clients and stand-ins for the new servers."""
 
 import asyncio
+import random
 import re
 import signal
 import sqlite3
@@ -10,6 +11,7 @@
 from pathlib import Path
 
 from sagetrestle.lab.clients import PATIENCE_S, FrontEnd, ask_scgi, status_of
+from sagetrestle.lab.faults import Link
 from sagetrestle.lab.new_server import NewServer, old_report
 from sagetrestle.lab.scorer import ROOT
 from sagetrestle.lab.signer import LabSigner, identity_toml
@@ -81,6 +83,8 @@
         (self.home / "deploy").mkdir()
         (self.home / "deploy/mapping.toml").write_text(MAPPING)
         self.servers = [await NewServer().start() for _ in range(self.servers_count)]
+        self.server_ports = [server.port for server in self.servers]
+        self.classes = CLASSES
         self.processes = []
         await self.begin()
 
@@ -94,9 +98,9 @@
 
     async def begin(self, code=None, journal="journal.db", more="", waits=True):
         """Start a translator; ``code`` is a program that starts it and may kill it at a write point of its journal."""
-        text = f'mapping = "deploy/mapping.toml"\njournal = "{journal}"\nscgi = "127.0.0.1:0"\n{more}\n' + CLASSES
-        for at, server in enumerate(self.servers):
-            text += f'[[servers]]\nname = "s{at}"\naddress = "127.0.0.1:{server.port}"\nboot = 1\n'
+        text = f'mapping = "deploy/mapping.toml"\njournal = "{journal}"\nscgi = "127.0.0.1:0"\n{more}\n' + self.classes
+        for at, port in enumerate(self.server_ports):
+            text += f'[[servers]]\nname = "s{at}"\naddress = "127.0.0.1:{port}"\nboot = 1\n'
         path = self.home / "deploy" / "translate.toml"
         path.write_text(text)
         arguments = ["-c", code, str(path)] if code else ["-m", "sagetrestle", "translate", "--file", str(path)]
@@ -342,6 +346,28 @@
             await self.charge(f"K{number}")
         self.assertEqual({1}, set(self.effects().values()))
 
+    # Guards against a charge that is refused as "never ran" while its request is on a silent path, and runs later.
+    async def test_charges_on_a_path_that_holds_them_are_not_refused_and_run_once(self):
+        links = [await Link(("translator", "server"), False, random.Random(1)).start() for _ in self.servers]
+        for link, server in zip(links, self.servers, strict=True):
+            self.addCleanup(link.close)
+            link.target = server.port
+        self.server_ports = [link.port for link in links]
+        # Time to give a silent connection up and to ask on another one, before the charge is due.
+        self.classes = CLASSES.replace("aim_ms = 2000\nlimit_ms = 4000", "aim_ms = 6000\nlimit_ms = 8000")
+        await self.begin(journal="held.db", more="retry_share = 0.0\nretry_reserve_per_s = 0.0")
+        await asyncio.gather(*(self.charge(f"first{number}") for number in range(4)))  # connects to both servers
+        for link in links:
+            link.stick()
+        charges = [asyncio.create_task(self.ask("paid-check", key=f"K{number}")) for number in range(6)]
+        statuses = [status_of(data) for data in await asyncio.gather(*charges)]
+        self.assertLessEqual(set(statuses), {502, 504})
+        for link in links:
+            link.heal()
+        for number in range(6):
+            await self.charge(f"K{number}")
+        self.assertEqual(({1}, 10), (set(self.effects().values()), len(self.effects())))
+
 
 class ManyTest(TranslatorCase):
     """Many concurrent streams on few connections, and servers that are slow or closed."""
