--- a/sagetrestle/net/program/translate.py
+++ b/sagetrestle/net/program/translate.py
@@ -20,6 +20,7 @@
 from sagetrestle.attempts.request import RequestConfig
 from sagetrestle.file_decoding import decode_file
 from sagetrestle.interface import ClassSettings, DownstreamKind, Effect, PreemptionMode, Settings
+from sagetrestle.handover.messages import KeyName, KeyRecord
 from sagetrestle.membership.values import Endpoint, Instance, Member, MemberState
 from sagetrestle.membership.view import View
 from sagetrestle.net.program import log
@@ -29,8 +30,9 @@
 from sagetrestle.net.program.main import Scorer
 from sagetrestle.net.program.signals import EarlySignals
 from sagetrestle.net.program.upstream import GroupCommit, Upstream, UpstreamConfig
+from sagetrestle.net.routing.idempotency import KEY_WINDOW_MARGIN_US, KeyTable
 from sagetrestle.net.routing.values import BackendAddresses, Plan
-from sagetrestle.recovery.effects import EffectRecord, RecordKind
+from sagetrestle.recovery.effects import EffectRecord, EffectState, EffectTable, RecordKind
 from sagetrestle.router import Router, RouterConfig
 from sagetrestle.store.journal import Journal, JournalError
 from sagetrestle.translation.mapping import Mapping, MappingError, read_mapping
@@ -220,6 +222,26 @@
     )
 
 
+def restore_keys(keys: KeyTable, effects: EffectTable, clock: Clock) -> None:
+    """Give the core the keys of an earlier process: their bodies, windows and results, as if it had run them itself."""
+    now, unix_now = clock.read(), clock.unix_us()
+    windows = {request_class.name: request_class.window_us for request_class in keys.settings.classes}
+    for effect in effects.effects.values():
+        charge = effect.charge
+        if charge is None or charge.class_name not in windows or effect.state is EffectState.FREE:
+            continue
+        sent = now - (unix_now - effect.at_us)
+        until = sent + windows[charge.class_name] + KEY_WINDOW_MARGIN_US
+        name = KeyName(charge.class_name, charge.tenant, charge.key)
+        record = KeyRecord(name, charge.body_digest, charge.attempt_id, sent, until)
+        if effect.state is EffectState.IN_DOUBT:
+            keys.adopt_doubt(record)
+        else:
+            keys.adopt_remote_run(record)
+            result = effect.result if effect.state is EffectState.DONE else None
+            keys.store_remote_result(charge.attempt_id, result, until + keys.late_read_us)
+
+
 class Translator:
     """A scorer's core and fronts, with an Upstream for the new servers and its journal."""
 
@@ -292,6 +314,8 @@
         if fault:
             recovered.entries.append(EffectRecord(RecordKind.LOST, "", now))
         self.upstream.recover(recovered.entries, recovered.corrupt_keys, fault)
+        if self._config.core.fleet is None:  # a fleet goes by its records
+            restore_keys(self.core.loop.state.keys, self.upstream.effects, self._clock)
         if recovered.entries:
             self.journal.compact(self.upstream.effects.snapshot_records(self._clock.unix_us()))
         self.journal.write_marker()  # the loss must be recorded in the journal first
--- a/sagetrestle/net/program/upstream.py
+++ b/sagetrestle/net/program/upstream.py
@@ -27,9 +27,11 @@
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.routing import inputs
 from sagetrestle.net.routing.effects import RunCommand
+from sagetrestle.net.routing.idempotency import body_digest
 from sagetrestle.net.routing.values import CommandKind, RunEnd
 from sagetrestle.net.transport.connection_ends import Post
 from sagetrestle.net.transport.v2_client import V2Client
+from sagetrestle.recovery.charge_info import ChargeInfo, pack_charge
 from sagetrestle.recovery.effects import EffectTable, EffectRecord, RecordKind, EffectState, replay
 from sagetrestle.router import NoRoute, RouteRequest
 from sagetrestle.store.journal import Journal
@@ -134,6 +136,7 @@
     key: str | None
     schema: int
     started_us: int
+    intent_digest: bytes = b""  # describes a charge in the journal
     call: v2.Call | None = None
 
 
@@ -402,6 +405,9 @@
         self._note_losses(command.class_name, "requests", lost)
         if charge and key is not None:
             run.key = v2.effect_key(tenant, command.class_name, key)
+            run.intent_digest = pack_charge(
+                ChargeInfo(command.class_name, tenant, key, command.id, body_digest(command.body))
+            )
         job, token = Job(command.id, command.class_name, tenant, due_us, run.key, retry), ""
         if command.token is not None:
             member, (partition, epoch, _) = self._recorded_member(command.place), command.token
@@ -470,10 +476,9 @@
         if send.job.key is None:
             self._post_attempt(send)
             return
-        instance = send.member.instance
-        entry = EffectRecord(
-            RecordKind.INTENT, send.job.key, self._unix_us(), instance.name, instance.boot, send.job.route.encode()
-        )
+        instance, run = send.member.instance, self._runs.get(send.job.id)
+        digest = run.intent_digest if run is not None else send.job.route.encode()
+        entry = EffectRecord(RecordKind.INTENT, send.job.key, self._unix_us(), instance.name, instance.boot, digest)
         effect = self.effects.get(send.job.key, entry.at_us)
         entries = [entry]
         if effect is not None and effect.state is EffectState.IN_DOUBT:
--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -74,8 +74,8 @@
 
 
 def _refuse(turn: Turn, entry: RequestEntry, action: interface.RefuseRequest) -> None:
-    """Refuse a request; one that has run fails instead, as a refusal promises that it did not run."""
-    if entry.ran:
+    """Refuse a request; one that has run, or may have, fails instead, as a refusal promises that it did not run."""
+    if entry.ran or turn.state.keys.may_have_run(entry.request):
         turn.answer(entry, turn.failure_answer(entry))
     else:
         turn.answer(entry, Refused(action.retry_after_us, action.final))
--- a/sagetrestle/net/routing/fleet.py
+++ b/sagetrestle/net/routing/fleet.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
@@ -26,7 +25,7 @@
     SlotsReported,
     StoreWriteDone,
 )
-from sagetrestle.net.routing.idempotency import KEY_WINDOW_MARGIN_US
+from sagetrestle.net.routing.idempotency import KEY_WINDOW_MARGIN_US, body_digest
 from sagetrestle.net.routing.run_admission import RunDecision
 from sagetrestle.net.routing.spending_caps import SpendingCapCheck
 from sagetrestle.net.routing.state import Phase, RequestEntry, State
@@ -145,9 +144,10 @@
         self.perform(turn, self.node.mark_in_doubt(turn.now, turn.unix(), partition, name))
 
     def _marks(self, turn: Turn, request: Request) -> effect_log.AttemptInfo:
-        digest = hashlib.blake2b(request.body, digest_size=16).digest()
         class_name = turn.state.plan.settings.classes[request.class_index].name
-        return effect_log.AttemptInfo(request.id, class_name, request.tenant, request.key or "", digest)
+        return effect_log.AttemptInfo(
+            request.id, class_name, request.tenant, request.key or "", body_digest(request.body)
+        )
 
     def _verdict(self, turn: Turn, request: Request) -> AttemptDecision:
         if not self.node.effect_log.map.assignments:
--- a/sagetrestle/net/routing/idempotency.py
+++ b/sagetrestle/net/routing/idempotency.py
@@ -40,6 +40,11 @@
     last_run_id: str | None = None  # the last attempt that ran
     window_end: int = 0  # of the last run; counted from its arrival
     latest_this_turn: str | None = None  # the last attempt read in this turn
+    doubt_end: int | None = None  # until then an attempt of unknown outcome may have run
+
+    def is_in_doubt(self, time_us: int) -> bool:
+        """Return whether the outcome of an attempt is unknown whose window covers the given time."""
+        return self.doubt_end is not None and time_us <= self.doubt_end
 
 
 @dataclass(slots=True)
@@ -84,7 +89,7 @@
         if state is None or key is None or key[0] != "keyed":
             return False
         alive = state.latest_this_turn or self._earlier_attempt(state, request, now)
-        return bool(alive) and state.digest != _digest(request.body)
+        return (bool(alive) or state.is_in_doubt(request.arrived)) and state.digest != body_digest(request.body)
 
     def is_id_of_another_key(self, request: Request) -> bool:
         """Return whether an attempt with this request's id is remembered under another key.
@@ -103,10 +108,10 @@
         key = self.key_of(request)
         if key is None:
             return None
-        state = self.keys.setdefault(key, KeyState(_digest(request.body)))
+        state = self.keys.setdefault(key, KeyState(body_digest(request.body)))
         earlier = self._earlier_attempt(state, request, now) or state.latest_this_turn
         if earlier is None:
-            state.digest = _digest(request.body)
+            state.digest = body_digest(request.body)
         state.latest_this_turn = request.id
         self.keys_this_turn.append(key)
         return earlier
@@ -122,7 +127,7 @@
         """Retain an attempt as the holder of its key until ``until``."""
         key = self.key_of(request)
         if key is not None:
-            state = self.keys.setdefault(key, KeyState(_digest(request.body)))
+            state = self.keys.setdefault(key, KeyState(body_digest(request.body)))
             state.holder_id, state.holder_until = request.id, until
             self.keys_by_id[request.id] = key
 
@@ -139,9 +144,9 @@
         key = self.key_of(request)
         if key is None or key[0] != "keyed":
             return
-        state = self.keys.setdefault(key, KeyState(_digest(request.body)))
+        state = self.keys.setdefault(key, KeyState(body_digest(request.body)))
         state.last_run_id = request.id
-        state.window_end = request.arrived + self.settings.classes[request.class_index].window_us + KEY_WINDOW_MARGIN_US
+        state.window_end = self._window_end(request)
         self.keys_by_id[request.id] = key
 
     def mark_not_run(self, request: Request) -> None:
@@ -151,6 +156,27 @@
             state.last_run_id, state.window_end = None, 0
         self.forget(request.id)
 
+    def mark_in_doubt(self, request: Request) -> None:
+        """Undo ``mark_started`` for an attempt of unknown outcome: a later attempt may ask for it."""
+        self.mark_not_run(request)
+        key = self.key_of(request)
+        if key is not None:
+            self._set_doubt(key, body_digest(request.body), self._window_end(request))
+
+    def adopt_doubt(self, record: KeyRecord) -> None:
+        """Remember an attempt of an earlier process whose outcome is unknown."""
+        self._set_doubt(self._key_of_record(record), record.digest, record.until_us)
+
+    def _set_doubt(self, key: Key, digest: bytes, until: int) -> None:
+        state = self.keys.setdefault(key, KeyState(digest))
+        state.digest, state.doubt_end = digest, until
+
+    def may_have_run(self, request: Request) -> bool:
+        """Return whether an attempt of unknown outcome may have run with this key and body within its window."""
+        key = self.key_of(request)
+        state = self.keys.get(key) if key else None
+        return state is not None and state.is_in_doubt(request.arrived) and state.digest == body_digest(request.body)
+
     def ran_in_window(self, request: Request) -> bool:
         """Return whether an attempt with this key and body ran whose window covers this request's arrival."""
         key = self.key_of(request)
@@ -159,7 +185,7 @@
             state
             and state.last_run_id
             and request.arrived <= state.window_end
-            and state.digest == _digest(request.body)
+            and state.digest == body_digest(request.body)
         )
 
     def may_start(self, request: Request) -> bool:
@@ -186,8 +212,11 @@
         """Return the record of a keyed attempt, for another process, as if it had run."""
         key = self.key_of(request)
         assert key is not None
-        until = request.arrived + self.settings.classes[request.class_index].window_us + KEY_WINDOW_MARGIN_US
-        return self._record(key, KeyState(_digest(request.body), window_end=until), request.id)
+        return self._record(key, KeyState(body_digest(request.body), window_end=self._window_end(request)), request.id)
+
+    def _window_end(self, request: Request) -> int:
+        """Return until when an attempt may be repeated if it runs."""
+        return request.arrived + self.settings.classes[request.class_index].window_us + KEY_WINDOW_MARGIN_US
 
     def _record(self, key: Key, state: KeyState, id: str) -> KeyRecord:
         from sagetrestle.handover.messages import KeyName, KeyRecord  # loaded only if there is another process
@@ -271,6 +300,7 @@
             key: state
             for key, state in self.keys.items()
             if state.latest_this_turn
+            or state.is_in_doubt(now - self.late_read_us)
             or (state.holder_id or state.last_run_id)
             and max(state.holder_until, state.window_end) + self.late_read_us > now
         }
@@ -294,5 +324,6 @@
         return None
 
 
-def _digest(body: bytes) -> bytes:
+def body_digest(body: bytes) -> bytes:
+    """Return the digest by which the bodies of two attempts are compared."""
     return hashlib.blake2b(body, digest_size=16).digest()
--- a/sagetrestle/net/routing/kernel_events.py
+++ b/sagetrestle/net/routing/kernel_events.py
@@ -241,7 +241,7 @@
         turn.state.keys.mark_not_run(entry.request)
         access_control.charge_not_run(turn, entry)
     if item.end is RunEnd.IN_DOUBT:  # the next attempt is to ask the other server, not to be answered here
-        turn.state.keys.mark_not_run(entry.request)
+        turn.state.keys.mark_in_doubt(entry.request)
         entry.in_doubt = True
     done = item.end is RunEnd.DONE
     turn.answer(entry, _answer_for(turn, entry, item))
--- a/sagetrestle/recovery/effects.py
+++ b/sagetrestle/recovery/effects.py
@@ -17,6 +17,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from sagetrestle.recovery.charge_info import ChargeInfo, unpack_charge
+
 
 class RecordKind(Enum):
     """The kinds of entries; their values are what the journal holds."""
@@ -32,7 +34,7 @@
 class EffectRecord(NamedTuple):
     """One entry. ``server`` and ``boot`` name the start of the server that an intent goes to.
 
-    ``digest`` is the request's own mark: here its class, which tells how an answer found later is translated.
+    ``digest`` describes the request (``charge_info``), or names its class alone, as in journals of earlier releases.
     """
 
     kind: RecordKind
@@ -67,8 +69,14 @@
 
     @property
     def request_class(self) -> str:
-        """Return the class that the intent was marked with."""
-        return self.digest.decode(errors="replace")
+        """Return the class of the request, which tells how an answer found later is translated."""
+        charge = self.charge
+        return charge.class_name if charge is not None else self.digest.decode(errors="replace")
+
+    @property
+    def charge(self) -> ChargeInfo | None:
+        """Return the charge that the intent was written for, if the intent describes it."""
+        return unpack_charge(self.digest)
 
 
 # What each entry makes of a key, by how it stood; what is not here is an entry that can not follow.
--- a/tests/net/test_translate.py
+++ b/tests/net/test_translate.py
@@ -346,6 +346,42 @@
             await self.charge(f"K{number}")
         self.assertEqual({1}, set(self.effects().values()))
 
+    async def conflicts(self, key, body):
+        """Return the status over SCGI and the outcome over Thrift of a charge."""
+        status = status_of(await self.ask("paid-check", body, key))
+        front = await FrontEnd(self.ports["thrift"]).connect()
+        number = await front.ask(call_id("other"), "paid-check", body, key)
+        outcome = front.outcome(number)
+        front.writer.close()
+        return status, outcome
+
+    async def restart(self):
+        self.process.kill()
+        await self.process.wait()
+        await self.begin()
+
+    # Guards against a caller that gets another one's result, as a restart forgot which body came with a key.
+    async def test_a_key_that_comes_with_another_body_after_a_restart_conflicts(self):
+        first = await self.charge("K")
+        for _ in range(2):  # the second start reads what the first one compacted
+            await self.restart()
+            self.assertEqual((409, "failed"), await self.conflicts("K", b"applicant=Omar\n"))
+            self.assertEqual(first, await self.charge("K"))
+        self.assertEqual([1], list(self.effects().values()))
+
+    # Guards against a caller that gets another one's result, as the charge that came with its key was in doubt.
+    async def test_a_key_in_doubt_that_comes_with_another_body_conflicts_before_and_after_a_restart(self):
+        for server in self.servers:
+            server.faults.silent = True
+        self.assertIn(status_of(await self.ask("paid-check", key="K")), (502, 504))
+        self.assertEqual((409, "failed"), await self.conflicts("K", b"applicant=Omar\n"))
+        await self.restart()
+        self.assertEqual((409, "failed"), await self.conflicts("K", b"applicant=Omar\n"))
+        for server in self.servers:
+            server.faults.silent = False
+        self.assertTrue((await self.charge("K")).endswith(old_report(BODY)))
+        self.assertEqual([1], list(self.effects().values()))
+
     # Guards against a charge that is refused as "never ran" while its request is on a silent path, and runs later.
     async def test_charges_on_a_path_that_holds_them_are_not_refused_and_run_once(self):
         links = [await Link(("translator", "server"), False, random.Random(1)).start() for _ in self.servers]
