Bound the memory of unfinished requests over all connections

Cause: the SCGI decoder kept a head's names and values until the body came, 138 KB for a head of 8 KB; and nothing bounded what all connections hold together (8 to 16 KB over SCGI and Thrift, 64 KiB of undecoded calls over Thrift). A member's port took frames of 8 MiB from any caller, and silent callers kept members out (by reading).

Change: heads are kept as received; InputBudget cuts off the connections whose requests are unfinished longest, over a sixteenth of the memory; connections are bounded by the memory too, with TLS on their own; callers at a member's port have 2 s and 4 KiB to greet, and the oldest one without a greeting makes room.

A TLS connection takes 27 KiB.

--- a/sagetrestle/net/program/limits.py
+++ b/sagetrestle/net/program/limits.py
@@ -26,6 +26,9 @@
 MANAGEMENT_SOCKETS = 16  # management callers; the listening socket is one more
 REQUESTS_PER_MB = 24  # a held request takes some 6 KiB: at most a seventh of the memory
 RESULT_MEMORY_SHARE = 0.1
+INPUT_MEMORY_SHARE = 0.0625  # for requests that were received in part
+CONNECTIONS_PER_MB = 24  # an idle connection takes some 4 KiB: at most a tenth of the memory
+TLS_CONNECTIONS_PER_MB = 4  # one with TLS takes some 27 KiB
 
 
 def derive_bounds(limits: Limits, scgi: bool, dns: bool, scgis: bool = False, managed: bool = False) -> Bounds:
@@ -38,10 +41,12 @@
         - (DNS_SOCKETS if dns else 0)
         - (MANAGEMENT_SOCKETS + 1 if managed else 0)
     )
+    front_sockets = min(front_sockets, int(limits.memory_mb * CONNECTIONS_PER_MB))
     scgi_sockets = int(front_sockets * SCGI_SHARE) if scgi or scgis else 0
     rejection_sockets = int(scgi_sockets * SCGI_REJECTION_SHARE)
     scgi_connections = scgi_sockets - rejection_sockets
     tls_connections = (scgi_connections // 2 if scgi else scgi_connections) if scgis else 0
+    tls_connections = min(tls_connections, int(limits.memory_mb * TLS_CONNECTIONS_PER_MB))
     connection_limits = {
         "thrift": front_sockets - scgi_sockets,
         "scgi": scgi_connections - tls_connections,
@@ -57,4 +62,5 @@
         int(limits.memory_mb * RESULT_MEMORY_SHARE * (1 << 20)),
         MANAGEMENT_SOCKETS,
         reserved,
+        int(limits.memory_mb * INPUT_MEMORY_SHARE * (1 << 20)),
     )
--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -26,6 +26,7 @@
 from sagetrestle.net.routing.values import ConnectionId
 from sagetrestle.net.transport.connection import LISTEN_BACKLOG, Front
 from sagetrestle.net.transport.connection_ends import Post
+from sagetrestle.net.transport.input_budget import InputBudget
 from sagetrestle.net.transport.kernel_link import KernelLink
 from sagetrestle.net.transport.ledger_pool import LedgerPool
 from sagetrestle.net.transport.roster import Roster
@@ -76,6 +77,7 @@
         bounds = config.plan.bounds
         self.thrift = ThriftFront(reactor, config.plan.settings, post, bounds.connections["thrift"], clock.from_unix_ms)
         self.fronts: dict[str, Front[Any]] = {"thrift": self.thrift}
+        self.thrift.input_budget = self._input_budget = InputBudget(bounds.input_bytes)
         self.kernel = create_backend(reactor, post)
         self.ledger = LedgerPool(reactor, post, bounds.calls)
         self.roster = Roster(config.name)
@@ -141,6 +143,7 @@
         """Add the SCGI front ``scgi``, or ``scgis`` with TLS."""
         plan = self.config.plan
         self.fronts[kind] = ScgiFront(self.reactor, plan.settings, post, plan.bounds, held_kb, kind, credentials)
+        self.fronts[kind].input_budget = self._input_budget
 
     def _add_identity(self, identity: IdentityConfig, post: Post) -> CredentialReader:
         """Set up identity checks and the SCGI front with TLS; their libraries are imported only here."""
--- a/sagetrestle/net/protocol/scgi.py
+++ b/sagetrestle/net/protocol/scgi.py
@@ -30,10 +30,19 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
-        self._headers: dict[str, str] | None = None
+        self._headers: bytes | None = None  # as received: decoded, short fields take many times their bytes
         self._body_size = 0
         self.complete, self.is_untouched = False, True
 
+    @property
+    def buffered(self) -> int:
+        """Return the number of bytes that are held of an incomplete request."""
+        return len(self._buffer) + len(self._headers or b"")
+
+    def discard(self) -> None:
+        """Drop what is held, as the request is answered before it is complete."""
+        self._headers, self._buffer = None, bytearray()
+
     def feed(self, data: bytes) -> ScgiRequest | None:
         """Add bytes and return the request once it is complete. Bytes after the request are a ProtocolError."""
         self.is_untouched = False
@@ -47,8 +56,9 @@
         if len(self._buffer) > self._body_size:
             raise ProtocolError("bytes after the request")
         self.complete = True
-        body, self._buffer = bytes(self._buffer), bytearray()
-        return ScgiRequest(self._headers, body)
+        request = ScgiRequest(_headers(self._headers), bytes(self._buffer))
+        self._headers, self._buffer = None, bytearray()
+        return request
 
     def _read_headers(self) -> None:
         """Decode the netstring once it is complete, and the length of the body."""
@@ -67,11 +77,11 @@
             return
         if self._buffer[end : end + 1] != b",":
             raise ProtocolError("a netstring without its comma")
-        headers = _headers(bytes(self._buffer[colon + 1 : end]))
-        self._body_size = int(headers["CONTENT_LENGTH"])
+        block = bytes(self._buffer[colon + 1 : end])
+        self._body_size = int(_headers(block)["CONTENT_LENGTH"])
         if self._body_size > MAX_BODY:
             raise ProtocolError(f"a body of {self._body_size} bytes", Fault.TOO_LARGE)
-        self._headers = headers
+        self._headers = block
         del self._buffer[: end + 1]
 
 
--- a/sagetrestle/net/protocol/thrift.py
+++ b/sagetrestle/net/protocol/thrift.py
@@ -83,6 +83,11 @@
         """Return whether there are buffered bytes that were not returned in a frame."""
         return bool(self._buffer)
 
+    @property
+    def buffered(self) -> int:
+        """Return the number of buffered bytes that were not returned in a frame."""
+        return len(self._buffer)
+
     @property
     def frame_begun(self) -> bool:
         """Return whether the next frame is buffered in part."""
--- a/sagetrestle/net/routing/values.py
+++ b/sagetrestle/net/routing/values.py
@@ -179,6 +179,7 @@
     results: int  # bytes of stored results
     management: int = 0  # connections to the management address
     own: int = 0  # file descriptors besides connections and calls
+    input_bytes: int = 4 << 20  # of requests that were received in part, over all fronts
 
 
 @dataclass(frozen=True)
--- a/sagetrestle/net/transport/connection.py
+++ b/sagetrestle/net/transport/connection.py
@@ -15,9 +15,12 @@
 from sagetrestle.net.routing.inputs import ConnectionEnded, ConnectionOpened, RequestRejected
 from sagetrestle.net.routing.values import Answer, ConnectionEnd, ConnectionId, RequestRef
 from sagetrestle.net.transport.connection_ends import Post, connection_end_for, connection_end_for_fault
+from sagetrestle.net.transport.input_budget import InputBudget
 
 STALL_TIMEOUT_S = 2.0  # without progress on a partial request or on answers waiting to be sent
 LINGER_TIMEOUT_S = 1.0  # for the peer to close after this side has closed
+BUDGET_PAUSE_S = 0.05  # between two reads of a connection while unfinished requests take too much memory
+DEFAULT_INPUT_BYTES = 4 << 20
 LISTEN_BACKLOG = 512  # connections waiting to be accepted at a listening socket
 
 
@@ -44,6 +47,7 @@
 
     def connectionMade(self) -> None:  # noqa: D102
         self._write_blocked = self._read_paused = self._peer_closed = False
+        self._request_completed = False  # since the held input was counted last
         self._local_end: tuple[ConnectionEnd, str] | None = None
         if self.factory.is_full():
             self.refuse()
@@ -65,6 +69,26 @@
             self.abort_malformed(fault)
         else:
             self._update_stall_timer(restart=False)
+        self._count_held_input()
+
+    def held_bytes(self) -> int:
+        """Return how many received bytes are held for requests that are not complete."""
+        raise NotImplementedError
+
+    def _count_held_input(self) -> None:
+        """Update the budget of unfinished requests; while it is used up, read little."""
+        held_bytes = 0 if self._local_end else self.held_bytes()
+        within = self.factory.input_budget.update(self, held_bytes, self._request_completed)
+        self._request_completed = False
+        if not within and held_bytes and not self._local_end:
+            self.pause_reading(BUDGET_PAUSE_S)
+
+    def abort_for_memory(self) -> None:
+        """Abort the connection, as unfinished requests take too much memory."""
+        self._local_end = (ConnectionEnd.TOO_LARGE, "unfinished requests take too much memory")
+        self.setTimeout(None)
+        self.transport.unregisterProducer()
+        self.transport.abortConnection()
 
     def callLater(self, seconds: float, callback: Any) -> Any:
         """Schedule a call on the factory's reactor, for ``TimeoutMixin``."""
@@ -172,6 +196,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
         self.setTimeout(None)
+        self.factory.input_budget.remove(self)
         if self._linger_timer is not None and self._linger_timer.active():
             self._linger_timer.cancel()
         if self.name and self.factory.connections.pop(self.name, None):
@@ -206,6 +231,7 @@
         self.connections: dict[ConnectionId, C] = {}
         self.port: IListeningPort | None = None
         self.inherited_ports: list[IListeningPort] = []  # further sockets of this front that the old process passed on
+        self.input_budget = InputBudget(DEFAULT_INPUT_BYTES)  # replaced by the one that all fronts share
         self._count = 0
 
     def send(self, request_ref: RequestRef, answer: Answer, value: float | None) -> None:
--- a/sagetrestle/net/transport/peer_link.py
+++ b/sagetrestle/net/transport/peer_link.py
@@ -12,27 +12,35 @@
 from sagetrestle.net.protocol import fences, peer
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.transport.connection_ends import client_endpoint
+from sagetrestle.peers.frames import Hello, Welcome
 from sagetrestle.peers.links import ConnectionLost, DialFinished, Event, FramesReceived
 from sagetrestle.takeover.effect_log import FenceKernel
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 256
+MAX_GREETING = 4 * 1024  # bytes of a frame of a peer that has not greeted, or of an observer
+GREETING_TIMEOUT_S = 2.0
 
 
 class PeerConnection(Int32StringReceiver):
     """One connection between members, dialled or accepted."""
 
-    MAX_LENGTH = peer.MAX_FRAME
+    MAX_LENGTH = MAX_GREETING  # until the peer has greeted as a member
 
     def __init__(self, number: int, links: PeerLinks) -> None:
         self.number, self._links = number, links
+        self.greeted = False
         self._frames: list[Any] = []
+        self._greeting_timer: Any = None
 
     def connectionMade(self) -> None:  # noqa: D102
         self.transport.setTcpNoDelay(True)
         self._links.connections[self.number] = self
+        self._greeting_timer = self._links.reactor.callLater(GREETING_TIMEOUT_S, self.transport.abortConnection)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: D102
+        if self._links.connections.get(self.number) is not self:  # it is being closed
+            return
         super().dataReceived(data)
         frames, self._frames = self._frames, []
         if frames:
@@ -40,14 +48,31 @@
 
     def stringReceived(self, string: bytes) -> None:  # noqa: D102
         try:
-            self._frames.append(peer.decode(string))
+            frame = peer.decode(string)
         except ProtocolError:  # the peer has another version or is not a member
             self.transport.abortConnection()
+            return
+        if not self.greeted:
+            self._handle_greeting(frame)
+        self._frames.append(frame)
+
+    def _handle_greeting(self, frame: Any) -> None:
+        """Accept large frames of a member from now on; an observer only sends queries."""
+        self.greeted = isinstance(frame, Hello | Welcome)
+        if self.greeted:
+            self._cancel_greeting_timer()
+        if self.greeted and not (isinstance(frame, Hello) and frame.observer):
+            self.MAX_LENGTH = peer.MAX_FRAME
+
+    def _cancel_greeting_timer(self) -> None:
+        if self._greeting_timer is not None and self._greeting_timer.active():
+            self._greeting_timer.cancel()
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: D102
         self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: D102
+        self._cancel_greeting_timer()
         if self._links.connections.pop(self.number, None) is not None:
             self._links.post(ConnectionLost(self.number))
 
@@ -58,19 +83,27 @@
     noisy = False
 
     def __init__(self, reactor: Any, addresses: dict[str, tuple[str, int]], post: Callable[[Event], None]) -> None:
-        self._reactor, self._addresses, self.post = reactor, addresses, post
+        self.reactor, self._addresses, self.post = reactor, addresses, post
         self.connections: dict[int, PeerConnection] = {}
         self._count = 0
         self._port: Any = None
 
     def listen(self, address: tuple[str, int]) -> int:
         """Listen for connections from members and return the port. Raises CannotListenError."""
-        self._port = self._reactor.listenTCP(address[1], self, interface=address[0])
+        self._port = self.reactor.listenTCP(address[1], self, interface=address[0])
         return self._port.getHost().port
 
     def buildProtocol(self, addr: Any) -> PeerConnection | None:
-        """Accept a connection, up to the limit; the peer is identified by its greeting."""
-        return self._connection() if len(self.connections) < MAX_CONNECTIONS else None
+        """Accept a connection, up to the limit; the peer is identified by its greeting.
+
+        At the limit the oldest one that has not greeted is aborted, so that silent callers do not keep members out.
+        """
+        if len(self.connections) >= MAX_CONNECTIONS:
+            silent = next((one for one in self.connections.values() if not one.greeted), None)
+            if silent is None:
+                return None
+            self.end_now(silent.number)
+        return self._connection()
 
     def _connection(self) -> PeerConnection:
         self._count += 1
@@ -81,7 +114,7 @@
         connection = self._connection()
         factory = Factory.forProtocol(lambda: connection)  # type: ignore[arg-type]
         factory.noisy = False
-        client_endpoint(self._reactor, self._addresses[name], CONNECT_TIMEOUT_S).connect(factory).addCallbacks(
+        client_endpoint(self.reactor, self._addresses[name], CONNECT_TIMEOUT_S).connect(factory).addCallbacks(
             lambda _: self.post(DialFinished(name, connection.number)), lambda _: self.post(DialFinished(name, None))
         )
 
@@ -95,7 +128,12 @@
         connection = self.connections.pop(number, None)
         if connection is not None:
             connection.transport.loseConnection()
-            self._reactor.callLater(CONNECT_TIMEOUT_S, connection.transport.abortConnection)
+            self.reactor.callLater(CONNECT_TIMEOUT_S, connection.transport.abortConnection)
+
+    def end_now(self, number: int) -> None:
+        """Abort a connection, and report that it is lost."""
+        self.connections.pop(number).transport.abortConnection()
+        self.post(ConnectionLost(number))
 
     def close(self) -> None:
         """Stop listening and abort all connections."""
--- a/sagetrestle/net/transport/scgi_front.py
+++ b/sagetrestle/net/transport/scgi_front.py
@@ -71,6 +71,14 @@
         """Return whether part of the request has been received and no response was sent yet."""
         return not (self._request.is_untouched or self._request.complete or self._responded)
 
+    def held_bytes(self) -> int:
+        """Return how many bytes of an incomplete request are held."""
+        return self._request.buffered
+
+    def has_unanswered_requests(self) -> bool:
+        """Return whether the request was read and has no response yet."""
+        return self._request.complete and not self._responded
+
     def is_untouched(self) -> bool:
         """Return whether nothing has been received, not even into the socket's buffer."""
         return self._request.is_untouched and not has_unread(self.transport)
@@ -104,6 +112,7 @@
 
     def _write(self, response: Response) -> None:
         self._responded = True
+        self._request.discard()
         data = scgi.encode_response(*response)
         self.transport.write(data[len(scgi.RESPONSE_START) :] if self._started else data)
 
--- a/sagetrestle/net/transport/thrift_front.py
+++ b/sagetrestle/net/transport/thrift_front.py
@@ -42,6 +42,7 @@
             if frame is None:
                 return
             self._update_stall_timer(restart=True)
+            self._request_completed = True
             self._take(thrift.read_call(thrift.decode_message(frame)))
             self._frame_was_split = False
         self.pause_reading(pause_s)
@@ -50,6 +51,10 @@
         """Return whether buffered bytes have not been decoded yet."""
         return self._frames.partial
 
+    def held_bytes(self) -> int:
+        """Return how many received bytes have not been decoded yet."""
+        return self._frames.buffered
+
     def has_unanswered_requests(self) -> bool:
         """Return whether a request that was read on this connection has no answer yet."""
         return bool(self._unanswered_seqids)
--- a/tests/net/test_translate.py
+++ b/tests/net/test_translate.py
@@ -1,9 +1,11 @@
 """The translator process between old clients and stand-ins for the new servers."""
 
 import asyncio
+import contextlib
 import random
 import re
 import signal
+import socket
 import sqlite3
 import sys
 import tempfile
@@ -16,8 +18,10 @@
 from sagetrestle.lab.scorer import ROOT
 from sagetrestle.lab.signer import LabSigner, identity_toml
 from sagetrestle.lab.translation import under_kills
+from sagetrestle.net.protocol.thrift import MAX_FRAME, Kind, encode_message
 from tests.fleet.helpers import PacedCase
 from tests.net.scenario import call_id
+from tests.net.test_input_budget import head_of_short_fields
 
 FIELDS = """[[classes.{name}.request]]
 old = "applicant"
@@ -405,6 +409,42 @@
         self.assertEqual(({1}, 10), (set(self.effects().values()), len(self.effects())))
 
 
+class SlowClientsTest(TranslatorCase):
+    """Hundreds of clients that stop half way through a request."""
+
+    MEMORY_MB, CLIENTS = 96, 600
+
+    async def peak_after(self, front, data):
+        """Return the process's peak memory in MiB after so many clients, while another client is served."""
+        sockets = []
+        for _ in range(self.CLIENTS):
+            client = socket.create_connection(("127.0.0.1", self.ports[front]))
+            self.addCleanup(client.close)
+            client.setblocking(False)
+            with contextlib.suppress(OSError):
+                client.send(data)
+            sockets.append(client)
+        await asyncio.sleep(0.5)
+        self.assertEqual(200, status_of(await asyncio.wait_for(self.ask(), PATIENCE_S)))
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
+
+    async def begin(self, **more):
+        await super().begin(more=f"sockets = 4096\nmemory_mb = {self.MEMORY_MB}", **more)
+
+    # Guards against a process that passes its memory limit by requests that never become complete.
+    async def test_the_memory_limit_holds_and_others_are_served(self):
+        unsound = encode_message("nothing", Kind.CALL, 1)
+        for front, data in (
+            ("scgi", head_of_short_fields()),
+            ("scgi", b"8000:" + b"x" * 7_999),
+            ("thrift", MAX_FRAME.to_bytes(4, "big") + b"x" * (MAX_FRAME - 1)),
+            ("thrift", unsound * (65_536 // len(unsound))),
+        ):
+            with self.subTest(front=front, size=len(data)):
+                self.assertLess(await self.peak_after(front, data), self.MEMORY_MB)
+
+
 class ManyTest(TranslatorCase):
     """Many concurrent streams on few connections, and servers that are slow or closed."""
 
