Cut off callers at a member's port that send something before their greeting

187,500 frames of a caller that never greeted made charges in a fleet of three take 39 ms in the median and 121 at the longest (36 and 43 at rest). Their first frame ends the connection now: 35 and 46. Greetings under ever new names made no difference: 36 and 44.

Test: test_a_caller_that_sends_something_before_its_greeting_is_cut_off.

--- a/sagetrestle/net/transport/peer_link.py
+++ b/sagetrestle/net/transport/peer_link.py
@@ -12,7 +12,7 @@
 from sagetrestle.net.protocol import fences, peer
 from sagetrestle.net.protocol.errors import ProtocolError
 from sagetrestle.net.transport.connection_ends import client_endpoint
-from sagetrestle.peers.frames import Hello, Welcome
+from sagetrestle.peers.frames import Hello, Refused, Welcome
 from sagetrestle.peers.links import ConnectionLost, DialFinished, Event, FramesReceived
 from sagetrestle.takeover.effect_log import FenceKernel
 
@@ -61,6 +61,8 @@
         self.greeted = isinstance(frame, Hello | Welcome)
         if self.greeted:
             self._cancel_greeting_timer()
+        elif not isinstance(frame, Refused):
+            self.transport.abortConnection()
         if self.greeted and not (isinstance(frame, Hello) and frame.observer):
             self.MAX_LENGTH = peer.MAX_FRAME
 
--- a/tests/net/test_input_budget.py
+++ b/tests/net/test_input_budget.py
@@ -3,10 +3,11 @@
 import tracemalloc
 import unittest
 
-from sagetrestle.net.protocol import scgi
+from sagetrestle.net.protocol import peer, scgi
 from sagetrestle.net.program.limits import Limits, derive_bounds
 from sagetrestle.net.transport.input_budget import InputBudget
 from sagetrestle.net.transport.peer_link import MAX_CONNECTIONS, MAX_GREETING, PeerLinks
+from sagetrestle.peers.frames import ObserverQuery
 from tests.net.scenario import Wire
 from twisted.internet.testing import MemoryReactorClock
 
@@ -113,6 +114,12 @@
         connection.dataReceived((MAX_GREETING + 1).to_bytes(4, "big"))
         self.assertFalse(connection.transport.connected)
 
+    # Guards against members that wait while the frames of a caller that never greets are read.
+    def test_a_caller_that_sends_something_before_its_greeting_is_cut_off(self):
+        connection, frame = self.connect(), peer.encode(ObserverQuery("status"))
+        connection.dataReceived(len(frame).to_bytes(4, "big") + frame)
+        self.assertFalse(connection.transport.connected)
+
     # Guards against members that are kept out by callers that say nothing.
     def test_silent_callers_make_room_and_end_in_time(self):
         first, *others = [self.connect() for _ in range(MAX_CONNECTIONS)]
