Remember the ids of attempts that had an effect and no key

Operators of other deployments saw an id run twice when it came again after its client had left. Here a request with an effect and no key ran again under its id once its first run had ended.

Cause: ids were remembered with keys alone. Change: the key table keeps those of attempts with an effect and no key that ran, and a request under one fails at the door.

Test: test_an_id_that_ran_without_a_key_does_not_run_again_after_its_client_left failed before.

--- a/sagetrestle/net/routing/idempotency.py
+++ b/sagetrestle/net/routing/idempotency.py
@@ -55,6 +55,7 @@
     keys: dict[Key, KeyState] = field(default_factory=dict)
     results: dict[str, Finished] = field(default_factory=dict)
     keys_by_id: dict[str, Key] = field(default_factory=dict)  # by attempt id, of attempts that were retained or ran
+    effect_ids: dict[str, int] = field(default_factory=dict)  # ends by id, of attempts that ran without a key
     keys_this_turn: list[Key] = field(default_factory=list)
     max_result_bytes: int = 1 << 24
     result_bytes_held: int = 0
@@ -92,10 +93,12 @@
         return (bool(alive) or state.is_in_doubt(request.arrived)) and state.digest != body_digest(request.body)
 
     def is_id_of_another_key(self, request: Request) -> bool:
-        """Return whether an attempt with this request's id is remembered under another key.
+        """Return whether an attempt with this request's id is remembered under another key, or ran without one.
 
         Results are stored by id alone, so one of two requests with the same id would get the other's result.
         """
+        if request.id in self.effect_ids:
+            return True
         known_key = self.keys_by_id.get(request.id)
         return known_key is not None and known_key != self.key_of(request)
 
@@ -142,6 +145,9 @@
     def mark_started(self, request: Request) -> None:
         """Remember that an attempt runs; its window counts from its arrival."""
         key = self.key_of(request)
+        request_class = self.settings.classes[request.class_index]
+        if key is None and request_class.effect is not Effect.SAFE:
+            self.effect_ids[request.id] = self._window_end(request) + self.late_read_us
         if key is None or key[0] != "keyed":
             return
         state = self.keys.setdefault(key, KeyState(body_digest(request.body)))
@@ -151,6 +157,7 @@
 
     def mark_not_run(self, request: Request) -> None:
         """Undo ``mark_started`` for an attempt that the kernel did not start, as if it had never arrived."""
+        self.effect_ids.pop(request.id, None)
         state = self.keys.get(self.keys_by_id.get(request.id, UNKNOWN_KEY))
         if state and state.last_run_id == request.id:
             state.last_run_id, state.window_end = None, 0
@@ -305,6 +312,7 @@
             and max(state.holder_until, state.window_end) + self.late_read_us > now
         }
         self.keys_by_id = {id: key for id, key in self.keys_by_id.items() if key in self.keys}
+        self.effect_ids = {id: until for id, until in self.effect_ids.items() if until > now}
 
     def _drop(self, id: str) -> None:
         self.keys_by_id.pop(id, None)
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -291,6 +291,21 @@
         callers = {entry.request.caller for entry in self.world.scorer.loop.state.entries.values()}
         self.assertEqual({1}, callers)
 
+    # Guards against an effect that happens twice, as a client comes again under its id after it has left.
+    def test_an_id_that_ran_without_a_key_does_not_run_again_after_its_client_left(self):
+        self.play("""
+            thrift send a paid-check
+            kernel expect SCHED a
+            thrift close
+            wait 20
+            thrift2 send again paid-check id=0000000000000061
+            thrift2 expect again failed
+            kernel send done a result
+            thrift2 send later paid-check id=0000000000000061
+            thrift2 expect later failed
+            kernel expect nothing
+            platform expect log its id came before""")
+
     def test_half_a_request_has_a_time_limit_however_slowly_it_goes_on(self):
         self.play("""
             thrift send status
