Give a Thrift connection one share of the cores, and leave its requests their callers

Now only the share of the cores goes by the connection.

Test: the scenario of a connection under many names wants the callers left as they are as well.

--- a/sagetrestle/net/routing/access_control.py
+++ b/sagetrestle/net/routing/access_control.py
@@ -151,9 +151,12 @@
 def fairness_caller(request: Request) -> int:
     """Return the caller number used for fairness: one per tenant, below those of all fronts' callers.
 
-    Fairness by connection or front end would give a tenant that uses many of them many shares.
+    Fairness by connection or front end would give a tenant that uses many of them many shares. Without tenants a
+    connection has one share, whatever callers its requests name.
     """
-    return -(1 << 33) - crc32(request.tenant.encode()) if request.tenant else request.caller
+    if request.tenant:
+        return -(1 << 33) - crc32(request.tenant.encode())
+    return request.caller if request.share_holder is None else request.share_holder
 
 
 def slo_subject(request: Request) -> str:
--- a/sagetrestle/net/routing/values.py
+++ b/sagetrestle/net/routing/values.py
@@ -58,6 +58,7 @@
     tenant: str = ""
     split: bool = False  # read in several parts; ``arrived`` may be earlier than its first byte
     timeout_us: int | None = None  # how long the caller waits, counted from ``arrived``; None if it does not tell
+    share_holder: int | None = None  # whose share of the cores it takes; None: its caller's
 
     def deadline_us(self, settings: Settings) -> int:
         """Return by when the request needs its final answer: when its caller or its class's deadline gives it up."""
--- a/sagetrestle/net/transport/thrift_front.py
+++ b/sagetrestle/net/transport/thrift_front.py
@@ -99,7 +99,7 @@
             self._reject("handle", call.seqid, thrift.PROTOCOL_ERROR, "field 'c' names no class")
             return
         self._unanswered_seqids.add(call.seqid)
-        if self._caller is None:  # a connection is one front end's: many names would get it many shares
+        if self._caller is None:
             self._caller = call.caller
         arrived = self.factory.from_unix_ms(call.stamp_ms)
         presented = (
@@ -114,7 +114,7 @@
                     call.id,
                     class_index,
                     arrived,
-                    self._caller,
+                    call.caller,
                     call.body,
                     call.held_kb,
                     int(call.hint_ms * 1000),
@@ -125,6 +125,7 @@
                     presented,
                     split=self._frame_was_split,
                     timeout_us=None if call.timeout_ms is None else int(call.timeout_ms * 1000),
+                    share_holder=self._caller,
                 )
             )
         )
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from unittest import mock
 
+from sagetrestle.net.routing import access_control
 from sagetrestle.net.routing.inputs import RequestRead
 from tests.net.scenario import ScenarioCase, Wire, call_id
 
@@ -288,8 +289,9 @@
             thrift send b report-view front=6
             thrift2 send c report-view front=7"""
         )
-        callers = {entry.request.caller for entry in self.world.scorer.loop.state.entries.values()}
-        self.assertEqual({1}, callers)
+        requests = [entry.request for entry in self.world.scorer.loop.state.entries.values()]
+        self.assertEqual({1}, {access_control.fairness_caller(request) for request in requests})
+        self.assertEqual({1, 5, 6, 7}, {request.caller for request in requests})  # as objectives name them
 
     # Guards against an effect that happens twice, as a client comes again under its id after it has left.
     def test_an_id_that_ran_without_a_key_does_not_run_again_after_its_client_left(self):
