Have the pace of DNS end the reading of empty datagrams too

Callers saw, beside 750,000 empty datagrams in 5 s: no answer over Thrift in 5 s, one over SCGI after 6 s, one at the second address after 5 s.

Cause: the port's loop ends by the bytes it has read; of empty datagrams that is 0, and it does not look whether reading was stopped. Change: while the pace is used up the port's bound is 0, which ends the loop.

Test: test_empty_datagrams_are_read_at_the_pace failed before.

--- a/sagetrestle/net/transport/dnssd.py
+++ b/sagetrestle/net/transport/dnssd.py
@@ -179,6 +179,8 @@
 
     def _wait_for_room(self) -> None:
         wait_s = self._factory.pace.wait_s()
+        # An empty datagram counts for nothing in the port's loop, which would go on as long as there are more.
+        self.transport.maxThroughput = 0 if wait_s else 1
         if wait_s:
             self.transport.stopReading()
             self._factory.reactor.callLater(wait_s, self._resume)
--- a/tests/net/test_dnssd.py
+++ b/tests/net/test_dnssd.py
@@ -38,7 +38,7 @@
     """A UDP socket in memory: it delivers one datagram at a time while it is read."""
 
     def __init__(self, protocol):
-        self.answers, self.reading, self.waiting = [], True, []
+        self.answers, self.reading, self.waiting, self.maxThroughput = [], True, [], 1
         protocol.makeConnection(self)
         self.protocol = protocol
 
@@ -52,8 +52,13 @@
         self.reading = True
 
     def deliver(self):
+        """Read as Twisted's port does: in each turn it ends by the bytes that were read alone."""
         while self.reading and self.waiting:
-            self.protocol.datagramReceived(self.waiting.pop(0), ("127.0.0.1", 1))
+            read = 0
+            while read < self.maxThroughput and self.waiting:
+                data = self.waiting.pop(0)
+                read += len(data)
+                self.protocol.datagramReceived(data, ("127.0.0.1", 1))
 
 
 class FloodTest(unittest.TestCase):
@@ -93,6 +98,16 @@
             self.clock.advance(PACE_WINDOW_S)
             datagrams.deliver()
 
+    # Guards against other clients that wait as long as empty datagrams come, of which the port reads any number.
+    def test_empty_datagrams_are_read_at_the_pace(self):
+        datagrams = Datagrams(PacedDatagramProtocol(self.factory))
+        datagrams.waiting = [b""] * FLOOD
+        for window in range(1, 4):
+            datagrams.deliver()
+            self.assertEqual(FLOOD - window * MAX_MESSAGES_PER_WINDOW, len(datagrams.waiting))
+            self.assertEqual(1, len(self.clock.getDelayedCalls()))
+            self.clock.advance(PACE_WINDOW_S)
+
     def test_all_questions_are_answered_in_the_end(self):
         connection = self.connect()
         self.flood(connection)
