--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -3,7 +3,9 @@
 from dataclasses import replace
 from unittest import mock
 
+from sagetrestle.handover.messages import KeyName, KeyRecord
 from sagetrestle.net.routing import access_control
+from sagetrestle.net.routing.idempotency import body_digest
 from sagetrestle.net.routing.inputs import RequestRead
 from tests.net.scenario import ScenarioCase, Wire, call_id
 
@@ -113,6 +115,21 @@
             thrift expect b refused"""
         )
 
+    # Guards against "never ran" for a charge that may have run, as its next attempt is turned away under load.
+    def test_a_charge_in_doubt_is_not_refused_but_fails(self):
+        name, now = KeyName("paid-check", "", "K"), self.world.scorer.loop.now
+        doubt = KeyRecord(name, body_digest(b"charge"), "first", now, now + 20_000_000)
+        self.world.scorer.loop.state.keys.adopt_doubt(doubt)
+        self.play(
+            FILL
+            + """
+            thrift send a paid-check key=K body=charge age=9250
+            thrift send b paid-check key=L body=charge age=9250
+            wait 60
+            thrift expect a failed
+            thrift expect b refused"""
+        )
+
     def test_a_running_charge_fails_at_its_deadline_and_is_stopped(self):
         self.play("""
             thrift send a paid-check key=K
