--- a/sagetrestle/lab/clients.py
+++ b/sagetrestle/lab/clients.py
@@ -5,19 +5,27 @@
 import asyncio
 import ssl
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from sagetrestle.net.protocol import scgi, thrift
 from sagetrestle.net.protocol.thrift import Kind, Type
 
+if TYPE_CHECKING:
+    from sagetrestle.lab.kernel import EmulatedKernel
+
 PATIENCE_S = 20  # for what must come at all
+HELD_KB = 24.5  # memory booked for a request that is held
 
 
 class FrontEnd:
-    """A front end with one Thrift connection; it counts the answers to each number."""
+    """A front end with one Thrift connection; it counts the answers to each number.
+
+    It tells ``kernel``, if there is one, of the requests that it writes and of their ends.
+    """
 
-    def __init__(self, port: int, number: int = 1) -> None:
-        self.port, self.number, self.count = port, number, 0
+    def __init__(self, port: int, number: int = 1, kernel: EmulatedKernel | None = None) -> None:
+        self.port, self.number, self.count, self._kernel = port, number, 0, kernel
+        self._ids: dict[int, str] = {}  # of unanswered requests
         self.closed = False
         self.leaving = False
         self.answers: dict[int, list[thrift.Message]] = {}
@@ -38,6 +46,8 @@
         except ConnectionError:
             pass
         self.closed = True
+        for number in list(self._ids):
+            self._request_over(number)
         for one in self.waiting.values():
             if not one.done():
                 one.set_exception(ConnectionResetError("the connection ended"))
@@ -47,9 +57,15 @@
             self.leaving = self.leaving or message.name == "leaving"
             return
         self.answers.setdefault(message.seqid, []).append(message)
+        self._request_over(message.seqid)
         if message.seqid in self.waiting and not self.waiting[message.seqid].done():
             self.waiting[message.seqid].set_result(message)
 
+    def _request_over(self, number: int) -> None:
+        id = self._ids.pop(number, None)
+        if self._kernel is not None and id is not None:
+            self._kernel.request_over(id)
+
     async def ask(
         self,
         id: str,
@@ -68,13 +84,16 @@
             "i": id,
             "s": str(time.time_ns() // 1_000_000),
             "f": str(self.number),
-            "m": "24.5",
+            "m": str(HELD_KB),
             "h": f"{hint_ms:g}",
             "p": "0.5",
         }
         pairs |= ({"k": key} if key else {}) | ({"r": "1"} if retry else {})
         fields = thrift.field(Type.MAP, 1, thrift.text_map(pairs))
         fields += thrift.field(Type.STRING, 2, thrift.string(body))
+        self._ids[number] = id
+        if self._kernel is not None:
+            self._kernel.request_written(id, HELD_KB)
         self.writer.write(thrift.encode_message("handle", Kind.CALL, number, fields))
         await asyncio.wait_for(self.waiting[number], patience_s)
         return number
--- a/sagetrestle/lab/kernel.py
+++ b/sagetrestle/lab/kernel.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple
 
 STEP_S = 0.004
+DEFAULT_REQUEST_KB = 24.5  # of a request that no front end told of
 
 
 class Started(NamedTuple):
@@ -66,10 +67,31 @@
         self.refused: list[Started] = []  # commands of an epoch that was over
         self._epochs: dict[int, int] = {}
         self._fates: dict[str, tuple[str, bytes]] = {}
+        self._request_kb: dict[str, float] = {}
+        self._open_requests: set[str] = set()
         self._adopted: dict[str, list[tuple[asyncio.StreamWriter, int, int]]] = {}
         self._writer: asyncio.StreamWriter | None = None
         self._working: asyncio.Task[None] | None = None
 
+    def request_written(self, id: str, held_kb: float) -> None:
+        """Book the memory of a request that a front end writes."""
+        self._request_kb[id] = held_kb
+        self._open_requests.add(id)
+
+    def request_over(self, id: str) -> None:
+        """Book no more memory for a request that was answered or given up, unless it runs."""
+        self._open_requests.discard(id)
+
+    @property
+    def runs_on_cores(self) -> int:
+        """Return how many runs are on the cores."""
+        return len(self._on_cores())
+
+    def memory_kb(self, run_factor: float) -> float:
+        """Return the memory of the requests that are held, run, are paused or call."""
+        held_kb = sum(self._request_kb[id] for id in self._open_requests if id not in self._runs)
+        return held_kb + run_factor * sum(self._request_kb.get(id, DEFAULT_REQUEST_KB) for id in self._runs)
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one link, in the place of the one before, or one that asks after runs. Runs go on without a link."""
         if self._working is None:
@@ -175,7 +197,8 @@
             run.calls_at_s.pop()
             run.calling = True
             self.serial += 1
-            self._tell(msg="IOREQ", serial=self.serial, call=call, blob=base64.b64encode(b"call").decode())
+            blob = base64.b64encode(self._call_body(call)).decode()
+            self._tell(msg="IOREQ", serial=self.serial, call=call, blob=blob)
         elif run.left_s <= 0:
             del self._runs[call]
             if run.fenced:
@@ -184,6 +207,9 @@
                     self._tell_fates(asker, partition, epoch, [(call, *self._fates[call])])
             self._end(call, "done", b"result of " + call.encode())
 
+    def _call_body(self, call: str) -> bytes:
+        return b"call"
+
     def _end(self, call: str, how: str, blob: bytes) -> None:
         if how == "done":
             self.ends.append(Ended(call, how, time.monotonic()))
--- a/sagetrestle/lab/ledger.py
+++ b/sagetrestle/lab/ledger.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
+
+LINGER_S = 0.2  # the longest that a call which was given up stays
 
 
 class EmulatedLedger:
@@ -11,6 +14,15 @@
     def __init__(self, takes_s: float = 0.01, slots: int = 64) -> None:
         self.takes_s, self.calls = takes_s, 0
         self._slots = asyncio.Semaphore(slots)
+        self._open_count = 0
+        self._lingering_until: list[float] = []
+
+    @property
+    def calls_in_hand(self) -> int:
+        """Return how many calls it holds, with those that were given up and linger."""
+        now = time.monotonic()
+        self._lingering_until = [until for until in self._lingering_until if until > now]
+        return self._open_count + len(self._lingering_until)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
@@ -31,9 +43,19 @@
             writer.close()
 
     async def _answer(self, id: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
-        async with self._slots:
-            await asyncio.sleep(self.takes_s)
+        self._open_count += 1
+        try:
+            async with self._slots:
+                await asyncio.sleep(self.takes_s)
+        except asyncio.CancelledError:
+            self._lingering_until.append(time.monotonic() + LINGER_S)
+            raise
+        finally:
+            self._open_count -= 1
         self.calls += 1
+        self._reply(id, body, writer)
+
+    def _reply(self, id: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
         writer.write(b"%s posted %d\r\n%s\r\n" % (id, len(body), body))
 
 
--- a/sagetrestle/lab/scorer.py
+++ b/sagetrestle/lab/scorer.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from sagetrestle.lab.clients import PATIENCE_S
+from sagetrestle.lab.fall_over import FallOverLimits, FallOverWatch, NodeLoad
 from sagetrestle.lab.kernel import EmulatedKernel, listen
 from sagetrestle.lab.ledger import Datagrams, EmulatedLedger
 from sagetrestle.lab.place import HERE, write_files
@@ -20,6 +21,10 @@
 ROOT = Path(__file__).parent.parent.parent
 
 
+class FellOver(Exception):
+    """The scorer put more on its kernel or its part of the ledger than these bear."""
+
+
 class ScorerProcess:
     """One scorer with its kernel, ledger and roster. ``ports`` has what it listens on, by front.
 
@@ -48,6 +53,7 @@
         self.ports: dict[str, int] = {}
         self.told: dict[str, Any] = {}
         self._servers: list[Any] = []
+        self.watch = FallOverWatch(FallOverLimits.from_settings(settings), self._load)
 
     async def start(self, fronts: int, ready: str = "kernel up") -> ScorerProcess:
         """Start it, and wait until it listens on so many fronts and has logged that it is ready."""
@@ -84,6 +90,10 @@
         ports = {peer: int(self.told[peer].rpartition(":")[2]) for peer in ("ledger", "roster")}
         return await newer._spawn({**ports, "kernel": kernel_port}, f"config{number}.json", fronts, ready)
 
+    def _load(self) -> NodeLoad:
+        run_factor = self._settings["extra"].get("run_factor", 1.0)
+        return NodeLoad(self.kernel.runs_on_cores, self.kernel.memory_kb(run_factor), self.ledger.calls_in_hand)
+
     async def _spawn(self, ports: Mapping[str, int], file: str, fronts: int, ready: str) -> ScorerProcess:
         self.told = write_files(
             self.folder, self.name, self._settings, ports, self._deploy, self._limits, file, self._over
@@ -101,6 +111,7 @@
             if not await self._read_line():
                 raise RuntimeError(f"the scorer ended: {self.log}")
         self._reading = asyncio.create_task(self._read_on())
+        self.watch.start()
         return self
 
     async def _read_line(self) -> bool:
@@ -146,11 +157,14 @@
         return int(re.search(r"Pss:\s+(\d+)", text)[1])  # type: ignore[index]
 
     async def stop(self, notice: signal.Signals = signal.SIGTERM) -> int:
-        """Give the notice to leave, or kill it outright, and return the exit code."""
+        """Give the notice to leave, or kill it outright, and return the exit code; raise ``FellOver`` if it did."""
         if self.process.returncode is None:
             self.process.send_signal(notice)
         code = await asyncio.wait_for(self.process.wait(), PATIENCE_S)
         await self._reading
+        self.watch.stop()
         for server in self._servers:
             server.close()
+        if self.watch.violations:
+            raise FellOver("; ".join(self.watch.violations))
         return code
--- a/sagetrestle/lab/upgrades.py
+++ b/sagetrestle/lab/upgrades.py
@@ -44,8 +44,8 @@
 class Caller:
     """A front end that goes on to a new connection when its own is being left."""
 
-    def __init__(self, port: int, number: int) -> None:
-        self.port, self.number = port, number
+    def __init__(self, port: int, number: int, kernel: EmulatedKernel | None = None) -> None:
+        self.port, self.number, self._kernel = port, number, kernel
         self.ends: list[FrontEnd] = []
         self._connecting = asyncio.Lock()
 
@@ -53,7 +53,7 @@
         """Send a request and return how it ended; ``lost`` where its connection ended without an answer."""
         async with self._connecting:
             if not self.ends or self.ends[-1].leaving or self.ends[-1].closed:
-                self.ends.append(await FrontEnd(self.port, self.number).connect())
+                self.ends.append(await FrontEnd(self.port, self.number, self._kernel).connect())
             end = self.ends[-1]
         try:
             number = await end.ask(id, cls, body, key, retry=retry)
