Keep what a run in doubt uses until the kernel reports it, and ask the kernel with pauses

What callers saw: in pre-production the kernel fell over after breaks of its link in series; all in hand was lost.

Cause: 0.2 s after a break, a run without a notice counted as ended for the policy, which started other work. Silence proves nothing: most such runs went on. The policy counted neither their cores nor their memory, ignored their calls, and each further break added more. What was sent within 0.2 s (2 s) before a break counted as lost (read) by time alone.

Gauges that arrive confirm the commands written before they were asked for. What was not confirmed and must not be carried out twice leaves its run in doubt. Where the site pauses, a pause asks: a run on a core stops, is reported and goes on in its turn; if the gauges behind the pause come first, it is on no core, and RunInDoubt gives its core, not its memory, to other work. Pauses go on each 0.1 s, as it may come back from its disk; runs in doubt count towards the runs that the kernel survives. A resume that may be lost goes again with a pause behind it. Where the site does not pause, a run in doubt keeps its core, as before.

Four older scenarios wanted no command at all after a break; they want the pause now, and nothing else. The one that wanted the core given back after 0.4 s of silence is replaced by one that wants the pause, the core, the memory and the end by `stale`.

--- a/sagetrestle/interface.py
+++ b/sagetrestle/interface.py
@@ -184,6 +184,15 @@
     took_us: int = 0
 
 
+class RunInDoubt(NamedTuple):
+    """A run may not exist, as its command may be lost; it is not on a core now, but may come back from its disk.
+
+    It keeps its memory until it is reported: by ``RunEnded`` (``CANCELLED`` if it is paused) or ``CallRequested``.
+    """
+
+    id: str
+
+
 class CallRequested(NamedTuple):
     """A running request has left the cores and waits to make a call."""
 
@@ -334,6 +343,7 @@
     RequestArrived,
     RequestWithdrawn,
     RunEnded,
+    RunInDoubt,
     CallRequested,
     CallEnded,
     DrainNotice,
--- a/sagetrestle/logic.py
+++ b/sagetrestle/logic.py
@@ -35,6 +35,7 @@
     RequestWithdrawn,
     ReuseResult,
     RunEnded,
+    RunInDoubt,
     SetFreeValue,
     SetHealth,
     SetIdleLimit,
@@ -147,7 +148,7 @@
 MIN_CORES = 0.1  # assumed where the admission limits grant none
 
 # States of a request.
-HELD, RUNNING, STOPPING, PAUSED, AWAITING_CALL, IN_CALL, JOINED = range(7)
+HELD, RUNNING, STOPPING, PAUSED, AWAITING_CALL, IN_CALL, JOINED, IN_DOUBT = range(8)
 
 
 class User:
@@ -237,6 +238,7 @@
         self.on_cores = {}
         self.awaiting_call = {}
         self.in_call = {}
+        self.in_doubt = {}  # off the cores when last seen, but may come back on them
         self.users: dict[str | int, User] = {}
         self.callers_seen: set[str | int] = set()  # counted while cold
         self.charge_clock_us = self.memory_kb = self.unread_wait_us = 0.0
@@ -279,6 +281,7 @@
             RequestArrived: self._request_arrived,
             RequestWithdrawn: self._request_withdrawn,
             RunEnded: self._run_ended,
+            RunInDoubt: self._run_in_doubt,
             CallRequested: self._call_requested,
             CallEnded: self._call_ended,
             DrainNotice: self._drain,
@@ -370,6 +373,7 @@
             del self.in_call[work.id]
             self.lingering_calls.append(self.now_us + self.linger_us)
         self.awaiting_call.pop(work.id, None)
+        self.in_doubt.pop(work.id, None)
         self.requests.pop(work.id, None)
         self.memory_kb -= work.memory_kb
         if work.record and work.record.holder is work:
@@ -414,6 +418,10 @@
             )
         return (1.0 + (self.settings.crowd_multiple - 1.0) * warm_share) * self.cores - self.other_process.running
 
+    def _possible_runs(self) -> int:
+        """Return how many runs may be on the cores: those that are, and those in doubt."""
+        return len(self.on_cores) + len(self.in_doubt)
+
     def _run_limit(self) -> float:
         """Return the run limit: the climbed limit, at least the cores and below the number of runs survived."""
         if self.admission_limits is not None:
@@ -536,9 +544,8 @@
         if work is None:
             return
         if event.outcome is Outcome.CANCELLED and not work.answered:
-            if work.state in (RUNNING, STOPPING):
-                self._charge(work)
-                self.on_cores.pop(work.id, None)
+            if work.state in (RUNNING, STOPPING, IN_DOUBT):
+                self._leave_cores(work)
                 if not self.can_pause:
                     self.memory_kb -= work.memory_kb - work.held_kb
                     work.memory_kb = work.held_kb
@@ -552,6 +559,20 @@
             self._update_estimates(work)
         self._end(work, event.outcome is Outcome.OK)
 
+    def _run_in_doubt(self, event: RunInDoubt) -> None:
+        """Give the core of a run that may not exist to other work; its memory stays in use until it is reported."""
+        work = self.requests.get(event.id)
+        if work is not None and work.state in (RUNNING, STOPPING):
+            self._leave_cores(work)
+            work.state = IN_DOUBT
+            self.in_doubt[work.id] = work
+
+    def _leave_cores(self, work: Work) -> None:
+        """Remove a request from the cores, or from the runs in doubt."""
+        if self.on_cores.pop(work.id, None) is not None:
+            self._charge(work)
+        self.in_doubt.pop(work.id, None)
+
     def _update_estimates(self, work: Work) -> None:
         """Include a finished run in the typical run of its class, the pace and the throughput."""
         self.finished_work_us += self._expected_run_us(work)
@@ -597,7 +618,7 @@
 
     def usage(self) -> ProcessUsage:
         """Return the memory and runs of this process, for the server's other process."""
-        return ProcessUsage(self.memory_kb - self.other_process.memory_kb, len(self.on_cores))
+        return ProcessUsage(self.memory_kb - self.other_process.memory_kb, self._possible_runs())
 
     def _timer_fired(self, event: TimerFired) -> None:
         """Store the gauges; the timer's other purpose, a call of ``handle``, is already met."""
@@ -686,7 +707,7 @@
         started = [
             work
             for work in self.requests.values()
-            if work.ran and work.target_us > self.now_us and work.state not in (JOINED, IN_CALL)
+            if work.ran and work.target_us > self.now_us and work.state not in (JOINED, IN_CALL, IN_DOUBT)
         ]
         for work in sorted([*started, *self.held.values()], key=lambda queued: (queued.target_us, queued.sequence)):
             remaining_us = self._remaining_run_us(work)
@@ -717,7 +738,7 @@
             for work in self.requests.values()
             if self.settings.classes[work.class_index].calls
             and not work.answered
-            and work.state not in (IN_CALL, JOINED)
+            and work.state not in (IN_CALL, JOINED, IN_DOUBT)
         ]
         candidates: list[tuple[float, int, Work, float]] = []
         for work in sorted(callers, key=lambda caller: (caller.target_us, caller.sequence)):
@@ -788,7 +809,7 @@
         self.turns += 1
         while self.waiting_count and len(self.on_cores) + 1 <= limit:
             user = self._next_user()
-            possible_runs = len(self.on_cores) + (0 if self.can_pause else len(self.in_call))
+            possible_runs = self._possible_runs() + (0 if self.can_pause else len(self.in_call))
             if user is None or (
                 self.admission_limits is None and possible_runs + 1 > self._survivable_runs() * MAX_CROWD_SHARE
             ):
@@ -933,10 +954,9 @@
     def _call_requested(self, event: CallRequested) -> None:
         """Take a request off the cores, and out of the run limit, while it makes a call."""
         work = self.requests.get(event.id)
-        if work is None or work.state not in (RUNNING, STOPPING):
+        if work is None or work.state not in (RUNNING, STOPPING, IN_DOUBT):
             return
-        self._charge(work)
-        self.on_cores.pop(work.id, None)
+        self._leave_cores(work)
         work.state, work.call_attempts = AWAITING_CALL, 0
         work.call_count += 1
         work.call_since_us = work.call_not_before_us = self.now_us
@@ -990,7 +1010,8 @@
         in_flight = len(self.in_call) + len(self.lingering_calls)
         if self.settings.downstream is DownstreamKind.SHARED:
             return in_flight + 1 <= max(1.0, self.call_limit) and self.mean_calls < self.call_limit
-        return in_flight + 1 <= max(self.cores / 2.0, self._survivable_runs() * MAX_CROWD_SHARE - len(self.on_cores))
+        free_runs = self._survivable_runs() * MAX_CROWD_SHARE - self._possible_runs()
+        return in_flight + 1 <= max(self.cores / 2.0, free_runs)
 
     def _make_calls(self) -> None:
         """Make the calls that fit, in order of aim; skip or turn away those that would end too late."""
--- a/sagetrestle/net/routing/periodic_tasks.py
+++ b/sagetrestle/net/routing/periodic_tasks.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from sagetrestle.interface import DrainNotice, RequestWithdrawn
-from sagetrestle.net.routing import access_control, health, ingress, inputs, kernel_events
+from sagetrestle.net.routing import access_control, command_delivery, health, ingress, inputs, kernel_events
 from sagetrestle.net.routing.effects import (
     CloseConnection,
     Exit,
@@ -14,7 +14,6 @@
     ListenForManagement,
     ReadPendingInput,
     RequestConnectionClose,
-    RequestGauges,
     SetLedgerAddress,
     SetRosterAddress,
     StopListening,
@@ -51,7 +50,7 @@
         turn.effects.append(Listen())
     turn.effects += [SetLedgerAddress(item.peers.ledger), SetRosterAddress(item.peers.roster)]
     kernel_events.connect(turn)
-    turn.state.task_due_times.update(report=turn.now, gauges=turn.now, overdue=turn.now, idle=turn.now, settle=turn.now)
+    turn.state.task_due_times.update(report=turn.now, gauges=turn.now, overdue=turn.now, idle=turn.now)
     if turn.state.authenticator is not None:
         turn.state.task_due_times["keys"] = turn.now
 
@@ -116,23 +115,21 @@
 
 def _ask_gauges(turn: Turn) -> None:
     kernel = turn.state.kernel
-    if kernel.link is LinkPhase.UP and not kernel.gauges_requested:  # no further request while one is unanswered
-        kernel.gauges_requested = True
-        turn.effects.append(RequestGauges("gauges"))
+    if kernel.link is LinkPhase.UP and kernel.gauge_request is None:  # no further request while one is unanswered
+        command_delivery.resolve_doubts(turn)
+        command_delivery.request_gauges(turn)
     turn.state.task_due_times["gauges"] = turn.now + GAUGE_POLL_INTERVAL_US
 
 
 def _answer_overdue(turn: Turn) -> None:
     """Fail requests that are past their deadline and still unanswered.
 
-    The policy answers in time by itself; this covers inputs that were lost in a failed turn, and runs whose commands
-    were lost with the kernel's link.
+    The policy answers in time by itself; this covers inputs that were lost in a failed turn.
     """
     settings = turn.state.plan.settings
     for entry in list(turn.state.entries.values()):
         if entry.unanswered and turn.now > entry.request.deadline_us(settings):
-            if not entry.released:
-                turn.log(f"request {entry.request.id} was left unanswered by the module")
+            turn.log(f"request {entry.request.id} was left unanswered by the module")
             turn.answer(entry, turn.failure_answer(entry))
             turn.events.append(RequestWithdrawn(entry.request.id))
             turn.abandon(entry)
@@ -218,7 +215,6 @@
     "gauges": _ask_gauges,
     "overdue": _answer_overdue,
     "idle": _close_idle,
-    "settle": kernel_events.settle_lost_runs,
     "drain": _drain,
     "load": _load,
     "verify": ingress.verify_pending,
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from sagetrestle.identity.values import Verdict
 from sagetrestle.interface import Gauges
@@ -35,10 +35,10 @@
 
 @dataclass(slots=True)
 class PendingCommand:
-    """A command that the kernel has not confirmed yet; ``sent_at`` is None if the link was down."""
+    """A command that the kernel has not confirmed yet; ``number`` is its place among all sent, None if not sent."""
 
     command: RunCommand
-    sent_at: int | None
+    number: int | None = None
 
 
 @dataclass(slots=True)
@@ -58,7 +58,9 @@
     cap_unit: Limit | None = None  # the fleet-wide limit of which it holds a unit
     in_doubt: bool = False  # its run ended with an unknown outcome
     pause_requested: bool = False
-    released: bool = False  # its run may be lost, and no longer counts for the policy
+    doubtful_command: RunCommand | None = None  # may be lost with a link, and must not be carried out twice
+    off_cores: bool = False  # the policy knows that its run, which is in doubt, is not on a core
+    settlement_requested: bool = False  # a start was sent after its answer, to learn whether its run goes on
     resent_commands: list[CommandKind] = field(default_factory=list)  # sent twice, so the kernel may reject one
     unconfirmed_commands: list[PendingCommand] = field(default_factory=list)
     joined_ids: list[str] = field(default_factory=list)
@@ -89,6 +91,13 @@
     UP = "up"
 
 
+class GaugeRequest(NamedTuple):
+    """A request for the gauges; the kernel has read the commands sent before it once it answers."""
+
+    cookie: str
+    commands_sent: int
+
+
 @dataclass(slots=True)
 class KernelLinkState:
     """The state of the link to the kernel."""
@@ -96,11 +105,10 @@
     link: LinkPhase = LinkPhase.DOWN
     link_number: int = 0  # of the current link
     last_serial: int = 0
-    lost_at: int = 0
-    synced_at: int = 0  # when all notices missed without a link had been read
     backoff_us: int = 0
-    sync_count: int = 0
-    gauges_requested: bool = False  # and not received yet
+    commands_sent: int = 0  # over all links
+    gauge_requests_sent: int = 0
+    gauge_request: GaugeRequest | None = None  # the one without an answer yet
 
 
 @dataclass(slots=True)
--- a/sagetrestle/net/routing/turn.py
+++ b/sagetrestle/net/routing/turn.py
@@ -87,7 +87,13 @@
 
     def send_command(self, entry: RequestEntry, command: RunCommand) -> None:
         """Send a run command to the kernel now, or once the link is up again."""
-        up = self.state.kernel.link is LinkPhase.UP
-        entry.unconfirmed_commands.append(PendingCommand(command, self.now if up else None))
-        if up:
-            self.effects.append(command)
+        pending = PendingCommand(command)
+        entry.unconfirmed_commands.append(pending)
+        if self.state.kernel.link is LinkPhase.UP:
+            self.write_command(pending)
+
+    def write_command(self, pending: PendingCommand) -> None:
+        """Write a pending command to the kernel link and number it."""
+        self.state.kernel.commands_sent += 1
+        pending.number = self.state.kernel.commands_sent
+        self.effects.append(pending.command)
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -316,6 +316,8 @@
     def __init__(self, world: World, at: int) -> None:
         self.world, self.serial, self.commands, self.opened = world, 0, [], []
         self.boots = self.boots_at_first
+        self.answers_gauges = True
+        self.gauge_cookies: list[str] = []  # of requests for the gauges without an answer
         self.wire = world.accept(at)
 
     def pump(self) -> None:
@@ -329,7 +331,9 @@
                 if self.boots:
                     self.tell(msg="BOOTED", **self.world.booted)
             elif got["msg"] == "SYSINFO":
-                self.tell(msg="INFO", cookie=got["cookie"], stats=[0.5, 1, 0.1, 3])
+                self.gauge_cookies.append(got["cookie"])
+                if self.answers_gauges:
+                    self.answer()
             else:
                 self.commands.append(got)
 
@@ -368,6 +372,10 @@
         if text is not None:
             test.assertEqual(text, base64.b64decode(got["blob"]).decode())
 
+    def answer(self, *_: str) -> None:
+        """Answer the latest request for the gauges (``answer gauges``)."""
+        self.tell(msg="INFO", cookie=self.gauge_cookies[-1], stats=[0.5, 1, 0.1, 3])
+
     def close(self, *_: str) -> None:
         """Break the link and take the next one, as soon as it is tried."""
         self.drop()
--- a/tests/net/test_management.py
+++ b/tests/net/test_management.py
@@ -328,12 +328,15 @@
             scgi send s quick-check
             kernel expect SCHED s
             kernel close
+            kernel expect PREEMPT a
             kernel expect SCHED s
             thrift2 send b paid-check key=K body=same retry=1
             kernel expect nothing""")
         got = self.metrics()
         self.assertEqual((2, 3), (got["attempts"], got["in_flight"]))
         self.play("""
+            kernel expect PREEMPT a
+            kernel expect nothing
             kernel send done a result
             thrift expect a served result
             thrift2 expect b served result
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -4,9 +4,12 @@
 from unittest import mock
 
 from sagetrestle.handover.messages import KeyName, KeyRecord
+from sagetrestle.interface import StopRun
 from sagetrestle.net.routing import access_control
+from sagetrestle.net.routing.actions import apply_action
 from sagetrestle.net.routing.idempotency import body_digest
 from sagetrestle.net.routing.inputs import RequestRead
+from sagetrestle.net.routing.turn import Turn
 from tests.net.scenario import ScenarioCase, Wire, call_id
 
 FILL = """
@@ -558,6 +561,7 @@
             ledger send posted a reply
             kernel expect IODONE a reply
             kernel close
+            kernel expect PREEMPT a
             kernel expect nothing
             kernel send IOREQ a second
             ledger expect post a second
@@ -578,6 +582,7 @@
             kernel next
             kernel expect IODONE a reply
             kernel close
+            kernel expect PREEMPT a
             kernel expect nothing
             kernel send done a result
             thrift expect a served result""")
@@ -589,38 +594,102 @@
                 {front} send {front}-a paid-check key={front}
                 kernel expect SCHED {front}-a
                 kernel close
+                kernel expect PREEMPT {front}-a
                 kernel expect nothing
                 kernel close
+                kernel expect PREEMPT {front}-a
                 kernel expect nothing
                 kernel send done {front}-a result
                 {front} expect {front}-a {"200" if front == "scgi" else "served"} result""")
 
-    # Guards against a lost start that counts as a run in progress, until the deadline or for good.
-    def test_a_charge_whose_start_was_lost_frees_its_core_and_fails_at_its_deadline(self):
+    # Guards against a lost start that holds a core until the deadline, and against a run that is taken for ended.
+    def test_a_charge_whose_start_may_be_lost_frees_its_core_once_a_pause_finds_it_on_none(self):
         self.play("""
             thrift send a paid-check key=k timeout=900
-            thrift2 send b paid-check key=l timeout=900
             kernel expect SCHED a
+            thrift2 send b paid-check key=l timeout=900
             kernel expect SCHED b
             kernel close
+            kernel expect PREEMPT a
+            kernel expect PREEMPT b
+            kernel send aborted b
+            kernel expect RESCHED b
             thrift send c quick-check
-            kernel expect nothing
-            wait 400
-            kernel expect SCHED c
+            kernel expect SCHED c""")
+        on_cores = self.world.scorer.loop.state.policy.on_cores
+        self.assertEqual({call_id("b"), call_id("c")}, set(on_cores))
+        used_kb = self.world.scorer.loop.state.policy.memory_kb
+        self.play("""
             kernel send done c result
             thrift expect c served result
             kernel send done b result
-            thrift2 expect b served result
-            wait 700
-            thrift expect a failed
-            wait 700
-            kernel expect nothing
-            wait 500
+            thrift2 expect b served result""")
+        self.assertGreater(used_kb, 4 * 24.5)  # the run of a may go on
+        self.assertEqual(4 * 24.5, self.world.scorer.loop.state.policy.memory_kb)
+        self.play("wait 1000\n thrift expect a failed")
+        commands = [got["msg"] for got in self.world.kernel.commands]
+        self.assertEqual({"PREEMPT"}, set(commands))
+        self.world.kernel.commands.clear()
+        self.play("wait 1000")
+        commands = [got["msg"] for got in self.world.kernel.commands]
+        self.assertEqual(1, commands.count("SCHED"))
+        self.play("kernel send stale a")
+        self.assertEqual({}, self.world.scorer.loop.state.entries)
+        self.assertEqual(0.0, self.world.scorer.loop.state.policy.memory_kb)
+
+    # Guards against a core that is given away while its run is only out of sight: pauses go on until it is reported.
+    def test_a_run_in_doubt_that_comes_back_from_its_disk_is_paused_and_goes_on_in_its_turn(self):
+        self.play("""
+            thrift send a paid-check key=k
             kernel expect SCHED a
-            wait 2000
+            kernel close
+            kernel expect PREEMPT a
+            wait 100
+            kernel expect PREEMPT a
+            kernel send aborted a
+            kernel expect RESCHED a
+            kernel send IOREQ a question
+            ledger expect post a question
+            ledger send posted a reply
+            kernel expect IODONE a reply
+            kernel send done a result
+            thrift expect a served result
+            kernel expect nothing""")
+
+    # Guards against a run that stays paused until its deadline, as its resume was lost and a pause was sent behind it.
+    def test_a_resume_that_may_be_lost_behind_which_a_pause_was_sent_is_repeated_before_another_pause(self):
+        self.play(
+            FILL
+            + """
+            scgi send a report-view caller=other
+            wait 400
+            kernel expect PREEMPT f1
+            kernel expect PREEMPT f2
+            kernel send aborted f1
+            kernel expect SCHED a"""
+        )
+        self.world.kernel.answers_gauges = False
+        self.play("""
+            kernel send done a result
+            kernel expect RESCHED f1""")
+        turn = Turn(self.world.scorer.loop.state, self.world.scorer.loop.now)
+        apply_action(turn, StopRun(call_id("f1")))
+        self.world.scorer.perform(*turn.effects)
+        self.world.settle()
+        self.play("""
+            kernel expect PREEMPT f1
+            kernel close
+            kernel answer gauges
+            kernel expect PREEMPT f1
+            kernel expect PREEMPT f2
             kernel expect nothing
-            kernel send stale a""")
-        self.assertEqual({}, self.world.scorer.loop.state.entries)
+            kernel answer gauges
+            wait 100
+            kernel expect RESCHED f1
+            kernel expect PREEMPT f1
+            kernel expect nothing
+            kernel send aborted f1
+            kernel expect RESCHED f1""")
 
     # Guards against a run that is resumed behind its pause, as both commands were written again in their order.
     def test_a_resume_that_may_have_arrived_is_not_sent_again_behind_its_pause(self):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -23,6 +23,7 @@
     RequestWithdrawn,
     ReuseResult,
     RunEnded,
+    RunInDoubt,
     SetHealth,
     SetTimer,
     SkipCall,
@@ -30,7 +31,7 @@
     StopRun,
     TimerFired,
 )
-from sagetrestle.logic import STOPPING
+from sagetrestle.logic import IN_DOUBT, STOPPING
 
 MS = 1_000
 LOGIC = pathlib.Path(__file__).parent.parent / "sagetrestle" / "logic.py"
@@ -622,3 +623,35 @@
         "b"
     ]
     assert server.usage() == interface.ProcessUsage(240.0, 1)
+
+
+# Guards against a server that falls over because runs that may still go on are taken for ended.
+def test_runs_in_doubt_free_their_core_but_not_their_memory_and_count_towards_the_runs_survived():
+    server = new_policy(crowd_multiple=4.0)
+    server.handle(0, [request_arrived(f"r{number}", caller=number) for number in range(5)])
+    started = 1
+    while started < 5 and len(server.on_cores) == 1:
+        (running,) = server.on_cores
+        memory_kb = server.memory_kb
+        actions = server.handle(started * MS, [RunInDoubt(running)])
+        assert server.memory_kb >= memory_kb
+        started += len(request_ids(actions, StartRun))
+    assert started == len(server.in_doubt) == 3  # 0.85 of the 4 runs that one core survives
+    assert server.usage().running == 3
+
+
+def test_a_run_in_doubt_that_is_reported_goes_on_as_any_other():
+    for end, left in ((RunEnded("a", Outcome.CANCELLED), True), (RunEnded("a", Outcome.OK), False)):
+        server = new_policy()
+        server.handle(0, [request_arrived("a")])
+        server.handle(MS, [RunInDoubt("a")])
+        assert not server.on_cores
+        assert request_ids(server.handle(2 * MS, [end]), StartRun) == ["a"] * left
+        assert (list(server.requests), server.in_doubt) == (["a"] * left, {})
+        assert bool(server.memory_kb) is left
+    server = new_policy()
+    server.handle(0, [request_arrived("b", class_index=0)])
+    server.handle(MS, [RunInDoubt("b")])
+    server.handle(2 * MS, [CallRequested("b")])
+    assert not server.in_doubt
+    assert server.requests["b"].state != IN_DOUBT
