Count the second run that a repeated start may begin after the first has ended

The start of a safe request is written again after a break. If its run ends before the second start arrives, the kernel begins another run, which nobody counted: the request had been answered, its entry was gone.

Change: an end that is read before the repeated start is confirmed answers the request, and keeps its core and memory in use until the pause, or `stale` a second later, shows that no run is left.

Test: test_a_repeated_start_behind_the_end_of_its_run_keeps_the_core_in_use_until_no_run_is_left; no such pause or count before.

--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -115,7 +115,7 @@
 def _reuse(turn: Turn, entry: RequestEntry, action: interface.ReuseResult) -> None:
     """Serve a repeat with the result of the attempt that it repeats, once that has ended."""
     earlier = turn.state.entries.get(entry.repeat_of or "")
-    if earlier and earlier is not entry:
+    if earlier and earlier is not entry and not earlier.is_second_run:
         entry.phase = Phase.JOINED
         earlier.joined_ids.append(action.id)
         return
--- a/sagetrestle/net/routing/command_delivery.py
+++ b/sagetrestle/net/routing/command_delivery.py
@@ -76,6 +76,12 @@
     entry.doubtful_command, entry.off_cores = None, False
 
 
+def may_run_again(turn: Turn, entry: RequestEntry) -> bool:
+    """Return whether a repeated start may begin a second run after the end that was just reported."""
+    is_start_repeated = CommandKind.START in entry.resent_commands and _is_unconfirmed(entry, CommandKind.START)
+    return is_start_repeated and not is_over_at_kernel(turn, entry)
+
+
 def is_over_at_kernel(turn: Turn, entry: RequestEntry) -> bool:
     """Return whether the kernel knows that the request was answered or given up, so that it starts no run of it."""
     return not entry.unanswered and turn.now - entry.answered_at >= ANSWER_DELIVERY_US
--- a/sagetrestle/net/routing/kernel_events.py
+++ b/sagetrestle/net/routing/kernel_events.py
@@ -13,6 +13,7 @@
     ConnectKernel,
     DeprioritizeConnection,
     OpenKernelSession,
+    RunCommand,
 )
 from sagetrestle.net.routing.outcomes import run_outcome
 from sagetrestle.net.routing.state import LinkPhase, Phase, RequestEntry
@@ -130,6 +131,8 @@
 
 def run_finished(turn: Turn, item: inputs.RunFinished) -> None:
     """Handle the end of a run: a confirmed pause, or the end of the request."""
+    entry = turn.state.entries.get(item.id)
+    may_run_again = entry is not None and command_delivery.may_run_again(turn, entry)
     new, entry = _accept_notice(turn, item.serial, item.id)
     if not new or entry is None:
         return
@@ -137,9 +140,21 @@
         entry.phase, entry.pause_requested = Phase.PAUSED, False
     else:
         _finish_run(turn, entry, item)
+        if may_run_again and item.end in (RunEnd.DONE, RunEnd.CRASHED):
+            _expect_second_run(turn, entry)
+            return
     turn.events.append(RunEnded(item.id, run_outcome(item.end), item.took_us))
 
 
+def _expect_second_run(turn: Turn, ended: RequestEntry) -> None:
+    """Keep what a run uses in use: its start was repeated, and may begin a second run after the first had ended."""
+    entry = RequestEntry(ended.request, phase=Phase.RUNNING, unanswered=False, answered_at=turn.now, ran=True)
+    entry.is_second_run = True
+    turn.state.entries[ended.request.id] = entry
+    command_delivery.doubt_run(turn, entry, RunCommand(CommandKind.START, ended.request.id))
+    turn.events.append(RequestWithdrawn(ended.request.id))
+
+
 def _finish_run(turn: Turn, entry: RequestEntry, item: inputs.RunFinished) -> None:
     """Finish a request whose run will not resume.
 
--- a/sagetrestle/net/routing/state.py
+++ b/sagetrestle/net/routing/state.py
@@ -61,6 +61,7 @@
     doubtful_command: RunCommand | None = None  # may be lost with a link, and must not be carried out twice
     off_cores: bool = False  # the policy knows that its run, which is in doubt, is not on a core
     settlement_requested: bool = False  # a start was sent after its answer, to learn whether its run goes on
+    is_second_run: bool = False  # stands for a run that a repeated start may have begun after the first had ended
     resent_commands: list[CommandKind] = field(default_factory=list)  # sent twice, so the kernel may reject one
     unconfirmed_commands: list[PendingCommand] = field(default_factory=list)
     joined_ids: list[str] = field(default_factory=list)
--- a/sagetrestle/net/routing/turn.py
+++ b/sagetrestle/net/routing/turn.py
@@ -57,6 +57,8 @@
     def finish(self, entry: RequestEntry, result: bytes | None = None) -> None:
         """Remove a finished request and answer the repeats that waited for its result."""
         self.state.entries.pop(entry.request.id, None)
+        if entry.is_second_run:  # the request ended with its first run
+            return
         self.state.call_deadlines.pop(entry.request.id, None)
         if entry.reserved and self.state.authenticator is not None:
             entry.reserved = False
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -691,6 +691,29 @@
             kernel send aborted f1
             kernel expect RESCHED f1""")
 
+    # Guards against a second run that nobody counts: the first ended before the repeated start reached the kernel.
+    def test_a_repeated_start_behind_the_end_of_its_run_keeps_the_core_in_use_until_no_run_is_left(self):
+        self.world.kernel.answers_gauges = False
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a
+            kernel close
+            kernel answer gauges
+            kernel expect SCHED a
+            kernel send done a result
+            thrift expect a served result
+            kernel expect PREEMPT a""")
+        policy = self.world.scorer.loop.state.policy
+        self.assertEqual({call_id("a")}, set(policy.on_cores))
+        self.world.kernel.answers_gauges = True
+        self.play("kernel answer gauges\n wait 1500")
+        self.assertEqual({call_id("a")}, set(policy.in_doubt))
+        commands = [got["msg"] for got in self.world.kernel.commands]
+        self.assertEqual(1, commands.count("SCHED"))
+        self.assertEqual({"SCHED", "PREEMPT"}, set(commands))
+        self.play("kernel send stale a")
+        self.assertEqual(({}, 0.0), (self.world.scorer.loop.state.entries, policy.memory_kb))
+
     # Guards against a run that is resumed behind its pause, as both commands were written again in their order.
     def test_a_resume_that_may_have_arrived_is_not_sent_again_behind_its_pause(self):
         self.play(
