Keep the memory of a run whose call is left out until the kernel has ended it

Found in related code: where the policy leaves out a call, the scorer failed the request and counted its run as ended at once. The kernel ends the run once it knows of the answer; until then it holds four times the request's memory, which was given to other work.

Change: the request counts as answered, and its run until the kernel reports it.

--- a/sagetrestle/net/routing/actions.py
+++ b/sagetrestle/net/routing/actions.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from sagetrestle import interface
-from sagetrestle.interface import Outcome, RunEnded
+from sagetrestle.interface import Outcome, RequestWithdrawn, RunEnded
 from sagetrestle.net.routing import access_control, health
 from sagetrestle.net.routing.effects import PostCall, RunCommand
 from sagetrestle.net.routing.run_admission import RunDecision
@@ -101,11 +101,13 @@
 
 
 def _skip_call(turn: Turn, entry: RequestEntry, action: interface.SkipCall) -> None:
-    """Fail a request whose call is to be skipped: the kernel has no command to resume a run without its call."""
+    """Fail a request whose call is to be skipped: the kernel has no command to resume a run without its call.
+
+    The run keeps its memory at the kernel until the kernel ends it, as its request is over.
+    """
     turn.log(f"request {action.id} failed: it can not go on without its call")
     turn.answer(entry, turn.failure_answer(entry))
-    turn.finish(entry)
-    turn.events.append(RunEnded(action.id, Outcome.ERROR))
+    turn.events.append(RequestWithdrawn(action.id))
 
 
 def _keep(turn: Turn, entry: RequestEntry, action: interface.RememberRequest) -> None:
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -10,7 +10,7 @@
 from sagetrestle.net.routing.idempotency import body_digest
 from sagetrestle.net.routing.inputs import RequestRead
 from sagetrestle.net.routing.turn import Turn
-from tests.net.scenario import ScenarioCase, Wire, call_id
+from tests.net.scenario import EXTRA, PARAMS, ScenarioCase, Wire, call_id
 
 FILL = """
 thrift send f1 report-view
@@ -761,6 +761,31 @@
             thrift expect a failed""")
 
 
+class SkippedCallTest(ScenarioCase):
+    """A class whose calls may be left out, which the kernel has no command for."""
+
+    params = {**PARAMS, "extra": {**EXTRA, "class_skip_worth": [0.5, 0.0, 0.0]}}
+
+    # Guards against memory that is given to other work while the run still stands at its call.
+    def test_a_run_whose_call_is_left_out_keeps_its_memory_until_the_kernel_ends_it(self):
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a
+            kernel send IOREQ a question""")
+        for _ in range(4):  # attempts at a call
+            self.play("""
+                ledger expect post a question
+                ledger send error a
+                wait 150""")
+        self.play("""
+            platform expect log it can not go on without its call
+            thrift expect a failed""")
+        policy = self.world.scorer.loop.state.policy
+        self.assertEqual(4 * 24.5, policy.memory_kb)
+        self.play("kernel send aborted a")
+        self.assertEqual(({}, 0.0), (self.world.scorer.loop.state.entries, policy.memory_kb))
+
+
 class ReloadTest(ScenarioCase):
     """A reloaded configuration changes addresses under load and during calls and runs."""
 
