Take no rejected reply or resume for the end of its run

Found in related code: after EINVAL for a reply or a resume the scorer counted the run as ended. That proves nothing of the run where the command was one too many; only the rejection of a start says that there is none.

Change: the request fails as before, and its run is in doubt: it keeps its memory until a notice, or `stale` for the start command that is sent a second after the answer. Test: test_a_run_whose_reply_was_rejected_keeps_its_memory_until_the_kernel_reports_its_end, which failed before (0 KB, 98 due).

--- a/sagetrestle/net/routing/kernel_events.py
+++ b/sagetrestle/net/routing/kernel_events.py
@@ -189,7 +189,10 @@
 
 
 def command_rejected(turn: Turn, item: inputs.CommandRejected) -> None:
-    """Handle a rejected command: the run cannot go on, so the request fails."""
+    """Handle a rejected command: the run cannot go on, so the request fails.
+
+    Only the rejection of a start proves that there is no run; otherwise one may go on, and keeps what it uses.
+    """
     turn.log(f"kernel rejected {item.command_name} of {item.id}")
     entry = turn.state.entries.get(item.id)
     if entry is None or item.kind in (None, CommandKind.PAUSE):
@@ -197,10 +200,15 @@
     if item.kind in entry.resent_commands:  # the first copy had arrived, so the run is unaffected
         entry.resent_commands.remove(item.kind)
         return
-    if item.kind is CommandKind.START:  # the kernel never saw the request, so no front end of the platform sent it
-        turn.state.keys.mark_not_run(entry.request)
-        access_control.charge_not_run(turn, entry)
-        turn.effects.append(DeprioritizeConnection(entry.request.request_ref.connection))
+    if item.kind is not CommandKind.START:
+        turn.answer(entry, Failed())
+        turn.events.append(RequestWithdrawn(item.id))
+        command_delivery.doubt_run(turn, entry, RunCommand(item.kind, item.id))
+        return
+    # The kernel never saw the request, so no front end of the platform sent it.
+    turn.state.keys.mark_not_run(entry.request)
+    access_control.charge_not_run(turn, entry)
+    turn.effects.append(DeprioritizeConnection(entry.request.request_ref.connection))
     turn.answer(entry, Failed())
     turn.finish(entry)
     turn.events.append(RunEnded(item.id, run_outcome(RunEnd.CRASHED)))
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -745,6 +745,23 @@
             thrift expect a failed
             platform expect log kernel rejected SCHED""")
 
+    # Guards against a run that is taken for ended as one of its commands was rejected, and goes on uncounted.
+    def test_a_run_whose_reply_was_rejected_keeps_its_memory_until_the_kernel_reports_its_end(self):
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a
+            kernel send IOREQ a question
+            ledger expect post a question
+            ledger send posted a reply
+            kernel expect IODONE a reply
+            kernel send EINVAL a IODONE
+            thrift expect a failed""")
+        policy = self.world.scorer.loop.state.policy
+        self.assertEqual(4 * 24.5, policy.memory_kb)
+        self.play("wait 1500\n kernel send stale a")
+        self.assertIn("SCHED", [got["msg"] for got in self.world.kernel.commands])
+        self.assertEqual(({}, 0.0), (self.world.scorer.loop.state.entries, policy.memory_kb))
+
     def test_a_link_that_can_not_be_read_is_set_up_anew(self):
         self.play("""
             kernel send raw
