--- a/sagetrestle/lab/scorer.py
+++ b/sagetrestle/lab/scorer.py
@@ -53,7 +53,9 @@
         self.ports: dict[str, int] = {}
         self.told: dict[str, Any] = {}
         self._servers: list[Any] = []
-        self.watch = FallOverWatch(FallOverLimits.from_settings(settings), self._load)
+        self.watch: FallOverWatch | None = None  # a translator has no kernel of its own
+        if "extra" in settings:
+            self.watch = FallOverWatch(FallOverLimits.from_settings(settings), self._load)
 
     async def start(self, fronts: int, ready: str = "kernel up") -> ScorerProcess:
         """Start it, and wait until it listens on so many fronts and has logged that it is ready."""
@@ -111,7 +113,8 @@
             if not await self._read_line():
                 raise RuntimeError(f"the scorer ended: {self.log}")
         self._reading = asyncio.create_task(self._read_on())
-        self.watch.start()
+        if self.watch is not None:
+            self.watch.start()
         return self
 
     async def _read_line(self) -> bool:
@@ -162,9 +165,10 @@
             self.process.send_signal(notice)
         code = await asyncio.wait_for(self.process.wait(), PATIENCE_S)
         await self._reading
-        self.watch.stop()
         for server in self._servers:
             server.close()
-        if self.watch.violations:
-            raise FellOver("; ".join(self.watch.violations))
+        if self.watch is not None:
+            self.watch.stop()
+            if self.watch.violations:
+                raise FellOver("; ".join(self.watch.violations))
         return code
