--- a/sagetrestle/lab/clients.py
+++ b/sagetrestle/lab/clients.py
@@ -28,6 +28,7 @@
         self._ids: dict[int, str] = {}  # of unanswered requests
         self.closed = False
         self.leaving = False
+        self.leaving_at_s = float("inf")  # on the monotonic clock
         self.answers: dict[int, list[thrift.Message]] = {}
         self.waiting: dict[int, asyncio.Future[thrift.Message]] = {}
 
@@ -54,13 +55,19 @@
 
     def _take(self, message: thrift.Message) -> None:
         if message.kind == Kind.ONEWAY:
-            self.leaving = self.leaving or message.name == "leaving"
+            if message.name == "leaving" and not self.leaving:
+                self.leaving, self.leaving_at_s = True, time.monotonic()
             return
         self.answers.setdefault(message.seqid, []).append(message)
         self._request_over(message.seqid)
         if message.seqid in self.waiting and not self.waiting[message.seqid].done():
             self.waiting[message.seqid].set_result(message)
 
+    @property
+    def open_count(self) -> int:
+        """Return how many requests are unanswered."""
+        return len(self._ids)
+
     def _request_over(self, number: int) -> None:
         id = self._ids.pop(number, None)
         if self._kernel is not None and id is not None:
@@ -98,6 +105,11 @@
         await asyncio.wait_for(self.waiting[number], patience_s)
         return number
 
+    def close(self) -> None:
+        """Close the connection, and read no more."""
+        self.reading.cancel()
+        self.writer.close()
+
     def outcome(self, number: int) -> str:
         """Return how a request ended: ``served``, ``refused`` or ``failed``."""
         message = self.answers[number][0]
--- a/sagetrestle/lab/ledger.py
+++ b/sagetrestle/lab/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 
 LINGER_S = 0.2  # the longest that a call which was given up stays
@@ -59,6 +60,27 @@
         writer.write(b"%s posted %d\r\n%s\r\n" % (id, len(body), body))
 
 
+class SpoilingLedger(EmulatedLedger):
+    """Spoils some replies: noise, a line without end, a huge length, a missing end, or half a reply and silence."""
+
+    def __init__(self, seed: int, spoilt_share: float = 0.08, takes_s: float = 0.05) -> None:
+        super().__init__(takes_s)
+        self._rng, self._spoilt_share = random.Random(seed), spoilt_share
+
+    def _reply(self, id: bytes, body: bytes, writer: asyncio.StreamWriter) -> None:
+        if self._rng.random() >= self._spoilt_share:
+            super()._reply(id, body, writer)
+            return
+        spoilt = (
+            b"\x00\xff\x13noise noise\r\n",
+            b"x" * 400,
+            b"%s posted 3000000000\r\n" % id,
+            b"%s posted %d\r\n%sXY" % (id, len(body), body),
+            b"%s posted %d\r\n%s" % (id, len(body), body[:3]),
+        )
+        writer.write(self._rng.choice(spoilt))
+
+
 class Datagrams(asyncio.DatagramProtocol):
     """Keeps what came, as the roster keeps reports."""
 
