Ignore signals once the reactor has ended, as the interpreter resets their handlers

Cause: the interpreter resets signal handlers to their defaults as it shuts down; a SIGHUP or SIGTERM of a series that comes then ends the process. Change: SIGTERM, SIGINT and SIGHUP are ignored after the reactor's end, in the scorer and the translator; ignored ones are not reset.

--- a/sagetrestle/net/program/main.py
+++ b/sagetrestle/net/program/main.py
@@ -432,4 +432,5 @@
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
+    signals.ignore_signals()
     return scorer.exit_code
--- a/sagetrestle/net/program/signals.py
+++ b/sagetrestle/net/program/signals.py
@@ -18,6 +18,15 @@
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
 
 
+def ignore_signals() -> None:
+    """Ignore all signals handled here once the reactor has ended.
+
+    The interpreter resets handlers to their defaults as it shuts down, and a signal would then end the process.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
 class EarlySignals:
     """Records signals that arrive before the reactor runs; their default action would end the process."""
 
--- a/sagetrestle/net/program/translate.py
+++ b/sagetrestle/net/program/translate.py
@@ -28,7 +28,7 @@
 from sagetrestle.net.program.config import Config, ConfigError, ScgiConfig, with_fleet, with_identity
 from sagetrestle.net.program.limits import Limits, derive_bounds
 from sagetrestle.net.program.main import Scorer
-from sagetrestle.net.program.signals import EarlySignals
+from sagetrestle.net.program.signals import EarlySignals, ignore_signals
 from sagetrestle.net.program.upstream import GroupCommit, Upstream, UpstreamConfig
 from sagetrestle.net.routing.idempotency import KEY_WINDOW_MARGIN_US, KeyTable
 from sagetrestle.net.routing.values import BackendAddresses, Plan
@@ -344,5 +344,6 @@
         print(f"sagetrestle: {error}", file=sys.stderr)
         return 2
     reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
+    ignore_signals()
     translator.journal.close()
     return translator.core.exit_code
--- a/tests/net/test_loopback.py
+++ b/tests/net/test_loopback.py
@@ -84,6 +84,19 @@
         front.writer.close()
 
 
+class SignalsAtExitTest(LoopbackCase):
+    """Signals that go on coming while a real process ends."""
+
+    # Guards against a process that ends by a signal although it has answered everything and is about to exit.
+    async def test_signals_in_series_do_not_end_the_process_while_its_interpreter_shuts_down(self):
+        self.process.terminate()
+        while self.process.returncode is None:
+            for number in (signal.SIGHUP, signal.SIGTERM):
+                self.process.send_signal(number)
+            await asyncio.sleep(0.001)
+        self.assertEqual(0, self.process.returncode)
+
+
 class ScgiSocketTest(LoopbackCase):
     """Behaviour of SCGI connections that only real sockets show."""
 
