--- a/sagetrestle/lab/soak.py
+++ b/sagetrestle/lab/soak.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 from sagetrestle.lab.clients import FrontEnd
+from sagetrestle.lab.kernel import BOOKING_DELAY_S
 from sagetrestle.lab.kernel_faults import FaultyKernel
 from sagetrestle.lab.ledger import SpoilingLedger
 from sagetrestle.lab.place import LabClass, Place
@@ -39,6 +40,8 @@
 CROWD_SHARE = 0.3  # of the seeds
 REPEAT_SHARE = 0.2  # of the charges that come again
 LOADS = (0.7, 1.0, 1.4)  # times what the cores do
+EFFECTS = ("safe", "safe", "unsafe")  # of the classes without keys
+HALT_S = (0.05, 0.4)  # between SIGSTOP and SIGCONT
 BREAK_INTERVALS_S = ((0.3, 0.6), (0.1, 0.9), (2.0, 4.0))
 
 
@@ -73,6 +76,11 @@
         self._rate = PLACE.capacity * self._rng.choice(LOADS)
         self._break_interval_s = self._rng.choice(BREAK_INTERVALS_S)
         self._loses_commands = self._rng.random() < 0.5
+        self._has_halts = self._rng.random() < 0.3
+        effects = {each.name: self._rng.choice(EFFECTS) for each in CLASSES if not each.charge}
+        self._settings = PLACE.settings()
+        for each in self._settings["classes"]:
+            each["effect"] = effects.get(each["name"], each["effect"])
         self._count = 0
         self._keys: list[str] = []
 
@@ -89,11 +97,14 @@
         calls = {each.name: each.calls for each in CLASSES}
         self._kernel = FaultyKernel(PLACE.cores, work_s, calls, self._rng.getrandbits(32))
         over = {"stop_ms": int(KILL_AFTER_S * 1000)}
-        self._scorer = ScorerProcess(folder, self._kernel, PLACE.settings(), {}, over=over)
+        self._scorer = ScorerProcess(folder, self._kernel, self._settings, {}, over=over)
         self._scorer.ledger = SpoilingLedger(self._rng.getrandbits(32))
         self._requests: list[Sent] = []
         self._refused: set[str] = set()
         self._notice_s = float("inf")
+        self._is_going = asyncio.Event()
+        self._is_going.set()
+        self._load_end_s = time.monotonic() + LOAD_S
         self._fronts: list[FrontEnd] = []
         self._crowd_fronts: list[FrontEnd] = []
         await self._scorer.start(1)
@@ -137,7 +148,11 @@
             if self._keys and self._rng.random() < REPEAT_SHARE:
                 key = self._rng.choice(self._keys[-20:])
             self._keys.append(key)
-        request = Sent(f"{self._count:016x}", cls, key, time.monotonic())
+        number = self._count
+        await self._is_going.wait()
+        if front.closed or front.leaving:
+            return
+        request = Sent(f"{number:016x}", cls, key, time.monotonic())
         self._requests.append(request)
         body = f"charge {key}".encode() if key else b"read"
         try:
@@ -163,12 +178,28 @@
             await self._kernel.break_link(lose_s, self._rng.random() < 0.3)
 
     async def _signal(self) -> None:
-        """Send SIGHUP in series; the configuration stays as it is."""
+        """Send SIGHUP in series, though the configuration stays as it is; before the notice also halt the process."""
         while True:
             await asyncio.sleep(self._rng.uniform(0.5, 2.0))
             for _ in range(self._rng.randint(1, 5)):
-                if self._scorer.process.returncode is None:
-                    self._scorer.process.send_signal(signal.SIGHUP)
+                self._send_signal(signal.SIGHUP)
+            if self._has_halts and time.monotonic() + HALT_S[1] < self._load_end_s:
+                await self._halt()
+
+    async def _halt(self) -> None:
+        """Have the machine stand still: nothing is written meanwhile, and what is unread does not count."""
+        self._is_going.clear()
+        self._scorer.watch.stop()
+        self._send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(*HALT_S))
+        self._send_signal(signal.SIGCONT)
+        self._is_going.set()
+        await asyncio.sleep(BOOKING_DELAY_S)
+        self._scorer.watch.start()
+
+    def _send_signal(self, number: signal.Signals) -> None:
+        if self._scorer.process.returncode is None:
+            self._scorer.process.send_signal(number)
 
     async def _crowd(self) -> None:
         """Connect further clients that write a few requests each and keep their connections."""
@@ -186,8 +217,7 @@
         await asyncio.sleep(LOAD_S)
         self._notice_s = time.monotonic()
         for _ in range(self._rng.randint(1, 3)):
-            if self._scorer.process.returncode is None:
-                self._scorer.process.send_signal(signal.SIGTERM)
+            self._send_signal(signal.SIGTERM)
         killed = False
         try:
             await asyncio.wait_for(asyncio.shield(self._scorer.process.wait()), KILL_AFTER_S)
@@ -211,10 +241,11 @@
         """Compare what ran at the kernel with what was written and answered."""
         by_id = {request.id: request for request in self._requests}
         started = [by_id[start.call] for start in self._kernel.starts]
-        keys = Counter(request.key for request in started if request.key)
+        effects = {each["name"]: each["effect"] for each in self._settings["classes"]}
+        keys = Counter(request.key or request.id for request in started if effects[request.cls.name] != "safe")
         for key, count in keys.items():
             if count > 1:
-                self._violate(f"key {key} ran {count} times")
+                self._violate(f"key or id {key} ran {count} times")
         for request in started:
             if request.id in self._refused:
                 self._violate(f"request {request.id} was refused and ran")
