Send signals to child processes without reaping them, so that exit codes are not lost

The process had ended with 0: asyncio logged "Unknown child process pid, will report returncode 255". Popen.send_signal polls the child first; if the child has just ended, the poll reaps it before the event loop's waitpid. A fault of the test and of every stand-in that signals a process of its own, not of the scorer.

Change: ChildSignals sends through a pidfd; ScorerProcess.send_signal is used by the stand-ins and tests.

--- a/sagetrestle/lab/discovery.py
+++ b/sagetrestle/lab/discovery.py
@@ -163,7 +163,7 @@
         fleet.silence(name)
     await asyncio.sleep(out_s - 2.0)
     for name in names:
-        fleet.scorers[name].process.send_signal(signal.SIGCONT)
+        fleet.scorers[name].send_signal(signal.SIGCONT)
         await fleet.kill(name)
         await fleet.begin(name)
     fleet.dns.faults.outage = False
--- a/sagetrestle/lab/fleet.py
+++ b/sagetrestle/lab/fleet.py
@@ -79,7 +79,7 @@
     def silence(self, name: str) -> None:
         """Have a scorer read and say nothing, with its connections open."""
         self.down.add(name)
-        self.scorers[name].process.send_signal(signal.SIGSTOP)
+        self.scorers[name].send_signal(signal.SIGSTOP)
 
     async def kill(self, name: str) -> None:
         """End a scorer outright."""
--- a/sagetrestle/lab/processes.py
+++ b/sagetrestle/lab/processes.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 import socket
 from collections.abc import Mapping
@@ -220,7 +219,7 @@
         self.machines[name] = Machine(kernel, server, port)
         while (await call(newer.ports["management"], "GET", "/api/ready")).status != 200:
             await asyncio.sleep(0.02)
-        older.process.send_signal(signal.SIGTERM)
+        older.send_signal(signal.SIGTERM)
         await asyncio.wait_for(older.process.wait(), 20)
         self.scorers[name] = newer
         await newer.logged("fleet front listens")
@@ -240,8 +239,7 @@
     def go_on(self, name: str) -> None:
         """Let a stopped process go on."""
         self.down.discard(name)
-        with contextlib.suppress(ProcessLookupError):
-            self.scorers[name].process.send_signal(signal.SIGCONT)
+        self.scorers[name].send_signal(signal.SIGCONT)
 
     async def close(self) -> None:
         """End everything."""
--- a/sagetrestle/lab/scorer.py
+++ b/sagetrestle/lab/scorer.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+from sagetrestle.lab.child_signals import ChildSignals
 from sagetrestle.lab.clients import PATIENCE_S
 from sagetrestle.lab.fall_over import FallOverLimits, FallOverWatch, NodeLoad
 from sagetrestle.lab.kernel import EmulatedKernel, listen
@@ -109,6 +110,7 @@
         self.process = await asyncio.create_subprocess_exec(
             self.python, "-B", "-m", *self.module, cwd=self.folder, env=env, stderr=asyncio.subprocess.PIPE
         )
+        self._signals = ChildSignals(self.process)
         while len(self.ports) < fronts or not self.log_has(ready):
             if not await self._read_line():
                 raise RuntimeError(f"the scorer ended: {self.log}")
@@ -159,10 +161,13 @@
         text = Path(f"/proc/{self.process.pid}/smaps_rollup").read_text()
         return int(re.search(r"Pss:\s+(\d+)", text)[1])  # type: ignore[index]
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it still runs."""
+        self._signals.send(number)
+
     async def stop(self, notice: signal.Signals = signal.SIGTERM) -> int:
         """Give the notice to leave, or kill it outright, and return the exit code; raise ``FellOver`` if it did."""
-        if self.process.returncode is None:
-            self.process.send_signal(notice)
+        self.send_signal(notice)
         code = await asyncio.wait_for(self.process.wait(), PATIENCE_S)
         await self._reading
         for server in self._servers:
--- a/sagetrestle/lab/soak.py
+++ b/sagetrestle/lab/soak.py
@@ -182,7 +182,7 @@
         while True:
             await asyncio.sleep(self._rng.uniform(0.5, 2.0))
             for _ in range(self._rng.randint(1, 5)):
-                self._send_signal(signal.SIGHUP)
+                self._scorer.send_signal(signal.SIGHUP)
             if self._has_halts and time.monotonic() + HALT_S[1] < self._load_end_s:
                 await self._halt()
 
@@ -190,17 +190,13 @@
         """Have the machine stand still: nothing is written meanwhile, and what is unread does not count."""
         self._is_going.clear()
         self._scorer.watch.stop()
-        self._send_signal(signal.SIGSTOP)
+        self._scorer.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self._rng.uniform(*HALT_S))
-        self._send_signal(signal.SIGCONT)
+        self._scorer.send_signal(signal.SIGCONT)
         self._is_going.set()
         await asyncio.sleep(BOOKING_DELAY_S)
         self._scorer.watch.start()
 
-    def _send_signal(self, number: signal.Signals) -> None:
-        if self._scorer.process.returncode is None:
-            self._scorer.process.send_signal(number)
-
     async def _crowd(self) -> None:
         """Connect further clients that write a few requests each and keep their connections."""
         await asyncio.sleep(self._rng.uniform(0.5, LOAD_S))
@@ -217,7 +213,7 @@
         await asyncio.sleep(LOAD_S)
         self._notice_s = time.monotonic()
         for _ in range(self._rng.randint(1, 3)):
-            self._send_signal(signal.SIGTERM)
+            self._scorer.send_signal(signal.SIGTERM)
         killed = False
         try:
             await asyncio.wait_for(asyncio.shield(self._scorer.process.wait()), KILL_AFTER_S)
--- a/sagetrestle/lab/translation.py
+++ b/sagetrestle/lab/translation.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from sagetrestle.lab.child_signals import ChildSignals
 from sagetrestle.lab.clients import PATIENCE_S, ask_scgi, status_of
 from sagetrestle.lab.load import LoadReport, Outcome, Planned, plan, run
 from sagetrestle.lab.new_server import NewServer, old_report
@@ -119,7 +120,7 @@
     async def kill(self) -> None:
         """End it outright."""
         if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(signal.SIGKILL)
+            ChildSignals(self.process).send(signal.SIGKILL)
             await self.process.wait()
 
 
--- a/sagetrestle/lab/translators.py
+++ b/sagetrestle/lab/translators.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from sagetrestle.lab.capacity import Capacity
+from sagetrestle.lab.child_signals import ChildSignals
 from sagetrestle.lab.faults import Links
 from sagetrestle.lab.history import History, Ran
 from sagetrestle.lab.load import Planned
@@ -53,6 +54,7 @@
             env={**os.environ, "PYTHONPATH": str(self._root)},
             stderr=asyncio.subprocess.PIPE,
         )
+        self._signals = ChildSignals(self.process)
         while len(self.ports) < fronts or not self.log_has(ready):
             if not await self._read_line():
                 raise RuntimeError(f"the translator ended: {self.log}")
--- a/sagetrestle/lab/upgrades.py
+++ b/sagetrestle/lab/upgrades.py
@@ -127,8 +127,7 @@
             await asyncio.sleep(LOOK_S)
         self.report.ready_s.append(time.monotonic() - begun)
         noticed = time.monotonic()
-        if older.process.returncode is None:
-            older.process.send_signal(notice)
+        older.send_signal(notice)
         self.report.codes.append(await asyncio.wait_for(older.process.wait(), 20))
         self.report.gone_s.append(time.monotonic() - noticed)
         watching.cancel()
--- a/tests/fleet/test_moves.py
+++ b/tests/fleet/test_moves.py
@@ -46,7 +46,7 @@
         leaver, follower = [name for name in rig.names if name not in rig.council]
 
         async def act():
-            rig.scorers[leaver].process.send_signal(signal.SIGTERM)
+            rig.scorers[leaver].send_signal(signal.SIGTERM)
             await asyncio.sleep(0.1)
             await rig.kill(follower)
             await self.until(lambda: not {leaver, follower} & {self.owner(rig, f"K{at}") for at in range(60)}, 15)
@@ -94,7 +94,7 @@
                 if b"poison" in body and name not in rig.down:
                     killed.append(name)
                     rig.down.add(name)
-                    rig.scorers[name].process.kill()  # before it was begun: the kernel knows nothing of it
+                    rig.scorers[name].send_signal(signal.SIGKILL)  # before it was begun: the kernel knows nothing of it
                     return
                 started(call, cls, body, token)
 
--- a/tests/net/test_loopback.py
+++ b/tests/net/test_loopback.py
@@ -74,7 +74,7 @@
             (json.dumps(self.told | {"kernel": f"127.0.0.1:{second.sockets[0].getsockname()[1]}"}), "moved: kernel"),
         ):
             (Path(self.folder) / "config.json").write_text(text)
-            self.process.send_signal(signal.SIGHUP)
+            self.scorer.send_signal(signal.SIGHUP)
             while not self.log_has(log_text):
                 await asyncio.sleep(0.01)
         front = await FrontEnd(self.ports["thrift"]).connect()
@@ -89,10 +89,10 @@
 
     # Guards against a process that ends by a signal although it has answered everything and is about to exit.
     async def test_signals_in_series_do_not_end_the_process_while_its_interpreter_shuts_down(self):
-        self.process.terminate()
+        self.scorer.send_signal(signal.SIGTERM)
         while self.process.returncode is None:
             for number in (signal.SIGHUP, signal.SIGTERM):
-                self.process.send_signal(number)
+                self.scorer.send_signal(number)
             await asyncio.sleep(0.001)
         self.assertEqual(0, self.process.returncode)
 
@@ -147,7 +147,7 @@
         self.assertEqual([f"n1.{kind}"], [str(item.payload.name) for item in found.answers])
         writer.close()
         front = await FrontEnd(self.ports["thrift"]).connect()  # an open connection keeps the process running
-        self.process.terminate()
+        self.scorer.send_signal(signal.SIGTERM)
         while not self.log_has("drain:"):
             await asyncio.sleep(0.01)
         found = await self._query(kind, dns.PTR)
--- a/tests/net/test_upgrade_loopback.py
+++ b/tests/net/test_upgrade_loopback.py
@@ -110,8 +110,7 @@
 
     async def asyncTearDown(self):
         for process in self.running:
-            if process.process.returncode is None:
-                process.process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGCONT)
             await process.stop(signal.SIGKILL)
             self.assertFalse(process.log_has("failed:"), process.log)
 
@@ -159,10 +158,10 @@
 
     async def test_a_suspended_old_process_is_waited_for_only_until_the_timeout(self):
         await self.begin()
-        self.old.process.send_signal(signal.SIGSTOP)
+        self.old.send_signal(signal.SIGSTOP)
         new = await self.newer("does not hand over")
         await self.ready(new)
-        self.old.process.send_signal(signal.SIGCONT)
+        self.old.send_signal(signal.SIGCONT)
         await new.logged("taken over")
 
     async def test_an_old_process_that_sends_malformed_messages_is_given_up_in_time(self):
