--- a/tests/net/test_translate.py
+++ b/tests/net/test_translate.py
@@ -12,6 +12,7 @@
 import unittest
 from pathlib import Path
 
+from sagetrestle.lab.child_signals import ChildSignals
 from sagetrestle.lab.clients import PATIENCE_S, FrontEnd, ask_scgi, status_of
 from sagetrestle.lab.faults import Link
 from sagetrestle.lab.new_server import NewServer, old_report
@@ -203,10 +204,20 @@
         self.faults(slower=60.0)
         asked = asyncio.create_task(self.ask())
         await asyncio.sleep(0.2)
-        self.process.send_signal(signal.SIGTERM)
+        ChildSignals(self.process).send(signal.SIGTERM)
         self.assertEqual(200, status_of(await asked))
         self.assertEqual(0, await asyncio.wait_for(self.process.wait(), PATIENCE_S))
 
+    # Guards against a translator that ends by a signal although it has answered everything and is about to exit.
+    async def test_signals_in_series_do_not_end_the_process_while_its_interpreter_shuts_down(self):
+        signals = ChildSignals(self.process)
+        signals.send(signal.SIGTERM)
+        while self.process.returncode is None:
+            for number in (signal.SIGHUP, signal.SIGTERM):
+                signals.send(number)
+            await asyncio.sleep(0.001)
+        self.assertEqual(0, self.process.returncode)
+
 
 class PropertiesTest(TranslatorCase):
     """What a request carries: class, hint, retry mark, key, deadline, and the tenant proved by its token."""
