Delay what the kernel's link carries in the plays against the model

Commands and notices take up to 0, 2 or 40 ms each way, and what is on its way when a link breaks is lost or, if commands, partly read still; some runs last 15 ms.

--- a/tests/net/test_kernel_model.py
+++ b/tests/net/test_kernel_model.py
@@ -8,7 +8,7 @@
 import math
 import random
 import unittest
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -84,13 +84,19 @@
     notices: list[tuple[int, bytes]] = field(default_factory=list)
     wire: object = None
     is_deaf: bool = False
+    unread: deque[tuple[float, bytes]] = field(default_factory=deque)  # commands on their way, and when they arrive
+    unsent: deque[tuple[float, bytes]] = field(default_factory=deque)  # the same of what goes to the scorer
 
     def pump(self):
         """Carry out what came, and work for a millisecond."""
         if self.wire is not None:
             lines = self.wire.take().splitlines()
             for line in lines if not self.is_deaf else ():
-                self._take(json.loads(line))
+                self.unread.append((self._arrival_ms(self.unread), line))
+        while self.unread and self.unread[0][0] <= self.play.now_ms:
+            self._take(json.loads(self.unread.popleft()[1]))
+        while self.unsent and self.unsent[0][0] <= self.play.now_ms and self.wire is not None:
+            self.wire.protocol.dataReceived(self.unsent.popleft()[1])
         on_cores = [] if self.is_stalled() else self.on_cores()
         for id in on_cores:
             self._work(id, self.speed_share() * min(1.0, CORES / len(on_cores)))
@@ -103,6 +109,19 @@
             elif self.runs[id].state is RunState.CALLING:
                 self._end(id, "aborted")
 
+    def break_link(self):
+        """End the link; commands on their way are lost or still read, notices are lost."""
+        wire, self.wire, self.is_deaf = self.wire, None, False
+        while self.unread and self.rng.random() < 0.8:
+            self._take(json.loads(self.unread.popleft()[1]))
+        self.unread.clear()
+        self.unsent.clear()
+        wire.end(error.ConnectionLost)
+
+    def _arrival_ms(self, line):
+        """Return when the next piece of a queue arrives, which is after those before it."""
+        return max(self.play.now_ms + self.rng.random() * self.play.delay_ms, line[-1][0] if line else 0.0)
+
     def on_cores(self):
         return [id for id, run in self.runs.items() if run.state is RunState.ON_CORE]
 
@@ -128,7 +147,7 @@
                 self._write(msg="BOOTED", how=how, duration=age_ms)
                 for serial, line in self.notices:
                     if serial > got["serial"]:
-                        self.wire.protocol.dataReceived(line)
+                        self._send(line)
             case "SYSINFO":
                 self._write(msg="INFO", cookie=got["cookie"], stats=[0.5, len(self.on_cores()), 0.1, 3])
             case "SCHED" if run is None and self._is_over(id):
@@ -185,8 +204,11 @@
         self._write(**notice)
 
     def _write(self, **notice):
+        self._send(json.dumps(notice).encode() + b"\n")
+
+    def _send(self, line):
         if self.wire is not None and not self.is_deaf:
-            self.wire.protocol.dataReceived(json.dumps(notice).encode() + b"\n")
+            self.unsent.append((self._arrival_ms(self.unsent), line))
 
 
 class Play:
@@ -194,7 +216,8 @@
 
     def __init__(self, test, seed):
         self.test, self.rng, self.requests, self.calls = test, random.Random(seed), {}, []
-        self.work_ms = self.rng.choice((60, 300, 900))
+        self.work_ms = self.rng.choice((15, 60, 300, 900))
+        self.delay_ms = self.rng.choice((0.0, 2.0, 40.0))  # of the kernel's link, one way, at most
         self.loss_ms = self.rng.choice((0, 0, 20, 60, 250))
         self.break_interval_ms = self.rng.choice(((60, 300), (300, 600), (1_000, 2_000)))
         self.interval_ms = self.work_ms / CORES / self.rng.choice((0.8, 1.3, 2.5))
@@ -248,8 +271,7 @@
                 deaf_until_ms = self.now_ms + self.rng.random() * self.loss_ms
                 self.kernel.is_deaf = deaf_until_ms > self.now_ms
             if self.now_ms >= deaf_until_ms:
-                wire, self.kernel.wire, self.kernel.is_deaf = self.kernel.wire, None, False
-                wire.end(error.ConnectionLost)
+                self.kernel.break_link()
                 deaf_until_ms, next_break_ms = math.inf, self.now_ms + self._draw_break_ms()
             self.world.settle()
             self._accept()
