Move the kernel's address in the plays against its model

In three of ten seeds the configuration is read again every 0.7 s on average with another address of the kernel, so that links are replaced with commands on their way.

--- a/tests/net/test_kernel_model.py
+++ b/tests/net/test_kernel_model.py
@@ -9,7 +9,7 @@
 import random
 import unittest
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
 from twisted.internet import error
@@ -28,6 +28,7 @@
 HELD_KB, RUN_FACTOR = 24.5, 4.0
 KNOWN_OVER_MS = 10  # from an answer until the kernel knows of it
 STALL_MS, STALL_INTERVAL_MS = 700, 2_500  # how long and how often the cores stand still
+MOVE_INTERVAL_MS = 700  # between new addresses of the kernel, on average
 SLACK_MS = 60 + 4 * STEP_MS  # the platform's, and the steps of this play
 STOP_SENDING_MS = 2_100
 FRONT_COUNT = 3
@@ -221,6 +222,7 @@
         self.loss_ms = self.rng.choice((0, 0, 20, 60, 250))
         self.break_interval_ms = self.rng.choice(((60, 300), (300, 600), (1_000, 2_000)))
         self.interval_ms = self.work_ms / CORES / self.rng.choice((0.8, 1.3, 2.5))
+        self.has_moves = self.rng.random() < 0.3
         self.has_stalls = self.rng.random() < 0.4
         self.is_cold = self.rng.random() < 0.3
         self.halt = self.rng.choice(("suspend", "suspend", "abort", "silent"))
@@ -273,6 +275,8 @@
             if self.now_ms >= deaf_until_ms:
                 self.kernel.break_link()
                 deaf_until_ms, next_break_ms = math.inf, self.now_ms + self._draw_break_ms()
+            if self.has_moves and self.rng.random() < STEP_MS / MOVE_INTERVAL_MS:
+                self._move_kernel()
             self.world.settle()
             self._accept()
             self._answer_calls()
@@ -280,6 +284,13 @@
             self._compare()
         self._check()
 
+    def _move_kernel(self):
+        """Have the configuration read again, with another address of the kernel."""
+        peers = self.world.scorer.loop.state.peers
+        moved = peers._replace(kernel=(peers.kernel[0], peers.kernel[1] + 10))
+        self.world.moved = replace(self.world.scorer.config, peers=moved)
+        self.world.scorer.reload()
+
     def _draw_break_ms(self):
         return self.rng.uniform(*self.break_interval_ms)
 
@@ -302,10 +313,11 @@
         clients = self.world.reactor.tcpClients
         while self.clients_seen < len(clients):
             at, self.clients_seen = self.clients_seen, self.clients_seen + 1
-            if clients[at][1] == KERNEL_PORT:
-                self.kernel.wire = self.world.accept(at)
-            else:
+            if clients[at][1] == LEDGER_PORT:
                 self.calls.append((self.now_ms + self.rng.uniform(1, 400), self.world.accept(at)))
+            else:
+                self.kernel.unsent.clear()  # if the kernel has moved, the link before has just been closed
+                self.kernel.wire = self.world.accept(at)
 
     def _answer_calls(self):
         for due in [due for due in self.calls if due[0] <= self.now_ms]:
