Name the parts of the upgrade stand-in in plain terms

The names and comments of lab/upgrades.py were figurative or one word for several things (ends, looks, begun). Behaviour is unchanged: the tests of upgrades, of child signals, of moves and of the lab passed (33).

--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -110,7 +110,7 @@
                 f"  upgrades every 4 s, {load:.0%} of capacity, seed {seed}: {len(got.ready_s)} upgrades, "
                 f"{got.asked} requests, {dict(sorted(got.outcomes.items()))}, {got.doubled} answered twice, "
                 f"{sum(got.key_runs.values())} charges run, {got.ran_twice()} twice; ready after "
-                f"{spread(got.ready_s)} s, older gone {spread(got.gone_s)} s after SIGTERM; at most "
+                f"{spread(got.ready_s)} s, older gone {spread(got.exit_s)} s after SIGTERM; at most "
                 f"{got.memory_kb / 1024:.0f} MB and {got.descriptors} descriptors together"
             )
     for keys in (0, 1_000, 5_000):
--- a/sagetrestle/lab/upgrades.py
+++ b/sagetrestle/lab/upgrades.py
@@ -17,13 +17,13 @@
 from sagetrestle.lab.scorer import ScorerProcess
 
 LIMITS = {"cores": 1.0, "memory_mb": 80, "sockets": 384}
-REPEATS = 0.3  # of the charges, that come again with the key of an earlier one
-LOOK_S = 0.02
+REPEAT_SHARE = 0.3  # of the charges that come again with the key of an earlier one
+POLL_INTERVAL_S = 0.02
 
 
 @dataclass
 class Report:
-    """What came of it. Times are seconds, memory is KiB of both processes together, what they share counted once."""
+    """Results of a run. Memory is in KiB of both processes together, with shared pages counted once."""
 
     asked: int = 0
     outcomes: Counter[str] = field(default_factory=Counter)
@@ -31,7 +31,7 @@
     doubled: int = 0  # answers beyond the first
     key_runs: Counter[bytes] = field(default_factory=Counter)
     ready_s: list[float] = field(default_factory=list)
-    gone_s: list[float] = field(default_factory=list)  # from the notice until the older one ended
+    exit_s: list[float] = field(default_factory=list)  # from the notice until the older process ended
     codes: list[int] = field(default_factory=list)
     memory_kb: int = 0
     descriptors: int = 0
@@ -42,27 +42,27 @@
 
 
 class Caller:
-    """A front end that goes on to a new connection when its own is being left."""
+    """A front end that opens a new connection when the server leaves its current one."""
 
     def __init__(self, port: int, number: int, kernel: EmulatedKernel | None = None) -> None:
         self.port, self.number, self._kernel = port, number, kernel
-        self.ends: list[FrontEnd] = []
+        self.connections: list[FrontEnd] = []
         self._connecting = asyncio.Lock()
 
     async def ask(self, id: str, cls: str, body: bytes, key: str | None, retry: bool) -> str:
         """Send a request and return how it ended; ``lost`` where its connection ended without an answer."""
         async with self._connecting:
-            if not self.ends or self.ends[-1].leaving or self.ends[-1].closed:
-                self.ends.append(await FrontEnd(self.port, self.number, self._kernel).connect())
-            end = self.ends[-1]
+            if not self.connections or self.connections[-1].leaving or self.connections[-1].closed:
+                self.connections.append(await FrontEnd(self.port, self.number, self._kernel).connect())
+            connection = self.connections[-1]
         try:
-            number = await end.ask(id, cls, body, key, retry=retry)
+            number = await connection.ask(id, cls, body, key, retry=retry)
         except ConnectionError:
             return "lost"
         finally:
-            if end.leaving and len(end.answers) == end.count:
-                end.writer.close()
-        return end.outcome(number)
+            if connection.leaving and len(connection.answers) == connection.count:
+                connection.writer.close()
+        return connection.outcome(number)
 
 
 class Upgrades:
@@ -84,23 +84,24 @@
         return self
 
     def _kernel(self) -> EmulatedKernel:
-        kernel = EmulatedKernel(
-            self.place.cores, {one.name: one.work_s for one in self.place.classes}, seed=len(self.kernels), spread=0.3
-        )
+        work_s = {cls.name: cls.work_s for cls in self.place.classes}
+        kernel = EmulatedKernel(self.place.cores, work_s, seed=len(self.kernels), spread=0.3)
         self.kernels.append(kernel)
         return kernel
 
     async def load(self, rate: float, seconds: float) -> None:
         """Send Poisson arrivals at this rate, whatever becomes of them, and wait for all answers."""
-        begun, at, asked = time.monotonic(), 0.0, []
-        while (at := at + self.rng.expovariate(rate)) < seconds:
-            await asyncio.sleep(max(0.0, begun + at - time.monotonic()))
-            asked.append(asyncio.create_task(self._ask()))
-        for outcome in await asyncio.gather(*asked):
+        started_s, elapsed_s, requests = time.monotonic(), 0.0, []
+        while (elapsed_s := elapsed_s + self.rng.expovariate(rate)) < seconds:
+            await asyncio.sleep(max(0.0, started_s + elapsed_s - time.monotonic()))
+            requests.append(asyncio.create_task(self._ask()))
+        for outcome in await asyncio.gather(*requests):
             self.report.outcomes[outcome] += 1
         self.report.lost = self.report.outcomes["lost"]
-        ends = [end for caller in self.callers for end in caller.ends]
-        self.report.doubled = sum(len(one) - 1 for end in ends for one in end.answers.values())
+        connections = [connection for caller in self.callers for connection in caller.connections]
+        self.report.doubled = sum(
+            len(answers) - 1 for connection in connections for answers in connection.answers.values()
+        )
         self.report.key_runs = Counter(
             start.body for kernel in self.kernels for start in kernel.starts if start.cls == "paid-check"
         )
@@ -108,40 +109,40 @@
     async def _ask(self) -> str:
         self.report.asked += 1
         number = self.report.asked
-        cls = self.rng.choices(self.place.classes, [one.share for one in self.place.classes])[0]
+        cls = self.rng.choices(self.place.classes, [each.share for each in self.place.classes])[0]
         key = None
         if cls.charge:
-            again = self.rng.random() < REPEATS and number > 20
-            key = f"{self._seed}-{number - self.rng.randrange(20) if again else number}"
+            is_repeat = self.rng.random() < REPEAT_SHARE and number > 20
+            key = f"{self._seed}-{number - self.rng.randrange(20) if is_repeat else number}"
         body = f"charge {key}".encode() if key else b"read"
         return await self.rng.choice(self.callers).ask(f"{self._seed:08x}{number:08x}", cls.name, body, key, False)
 
     async def upgrade(self, notice: signal.Signals = signal.SIGTERM) -> None:
         """Start a newer process, wait until it says that it is ready, and end the older one."""
-        older, begun = self.scorer, time.monotonic()
+        older, started_s = self.scorer, time.monotonic()
         watching = asyncio.create_task(self._watch([older]))
         newer = await older.upgrade(self._kernel(), len(self.kernels), "management front listens", 2)
         watching.cancel()
         watching = asyncio.create_task(self._watch([older, newer]))
         while (await call(newer.ports["management"], "GET", "/api/ready")).status != 200:
-            await asyncio.sleep(LOOK_S)
-        self.report.ready_s.append(time.monotonic() - begun)
-        noticed = time.monotonic()
+            await asyncio.sleep(POLL_INTERVAL_S)
+        self.report.ready_s.append(time.monotonic() - started_s)
+        notice_s = time.monotonic()
         older.send_signal(notice)
         self.report.codes.append(await older.ended())
-        self.report.gone_s.append(time.monotonic() - noticed)
+        self.report.exit_s.append(time.monotonic() - notice_s)
         watching.cancel()
         self.scorer = newer
 
     async def _watch(self, scorers: list[ScorerProcess]) -> None:
         while True:
-            living = [one for one in scorers if one.process.returncode is None]
+            alive = [scorer for scorer in scorers if scorer.process.returncode is None]
             try:
-                self.report.memory_kb = max(self.report.memory_kb, sum(one.share_kb() for one in living))
-                self.report.descriptors = max(self.report.descriptors, sum(one.descriptors() for one in living))
+                self.report.memory_kb = max(self.report.memory_kb, sum(scorer.share_kb() for scorer in alive))
+                self.report.descriptors = max(self.report.descriptors, sum(scorer.descriptors() for scorer in alive))
             except (OSError, TypeError):
-                pass  # it ended between two looks
-            await asyncio.sleep(LOOK_S)
+                pass  # it ended in between
+            await asyncio.sleep(POLL_INTERVAL_S)
 
     async def stop(self) -> None:
         """End the last process."""
