--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -743,6 +743,13 @@
         "not is_pause_sent",
         KERNEL_LINK,
     ),
+    Mutant(
+        "a start that is repeated behind a pause",
+        DELIVERY,
+        "(request_class.effect is Effect.SAFE and not is_pause_sent)",
+        "request_class.effect is Effect.SAFE",
+        KERNEL_LINK,
+    ),
     Mutant("no pause that asks again", DELIVERY, "_probe(turn, entry, entry.doubtful_command)", "pass", KERNEL_LINK),
     Mutant(
         "a lost resume that is not repeated",
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -516,6 +516,13 @@
 class KernelLinkTest(ScenarioCase):
     """When the kernel link breaks, runs continue and nothing runs twice."""
 
+    def stop_run(self, name):
+        """Have a run paused, as the policy does for work that is more urgent."""
+        turn = Turn(self.world.scorer.loop.state, self.world.scorer.loop.now)
+        apply_action(turn, StopRun(call_id(name)))
+        self.world.scorer.perform(*turn.effects)
+        self.world.settle()
+
     def test_a_new_link_tells_the_last_notice_and_drops_what_was_seen(self):
         self.play("""
             thrift send a report-view
@@ -668,10 +675,7 @@
         self.play("""
             kernel send done a result
             kernel expect RESCHED f1""")
-        turn = Turn(self.world.scorer.loop.state, self.world.scorer.loop.now)
-        apply_action(turn, StopRun(call_id("f1")))
-        self.world.scorer.perform(*turn.effects)
-        self.world.settle()
+        self.stop_run("f1")
         self.play("""
             kernel expect PREEMPT f1
             kernel close
@@ -687,6 +691,21 @@
             kernel send aborted f1
             kernel expect RESCHED f1""")
 
+    # Guards against a run that is on a core again after its pause, as its start was repeated behind the pause.
+    def test_a_start_that_may_be_lost_is_not_repeated_if_a_pause_was_sent_behind_it(self):
+        self.world.kernel.answers_gauges = False
+        self.play("""
+            thrift send a report-view
+            kernel expect SCHED a""")
+        self.stop_run("a")
+        self.play("""
+            kernel expect PREEMPT a
+            kernel close
+            kernel answer gauges
+            kernel expect PREEMPT a
+            kernel expect nothing
+            platform expect log 1 runs in doubt""")
+
     # Guards against a second run that nobody counts: the first ended before the repeated start reached the kernel.
     def test_a_repeated_start_behind_the_end_of_its_run_keeps_the_core_in_use_until_no_run_is_left(self):
         self.world.kernel.answers_gauges = False
